--- /dev/null
+++ b/cmd/fieldhill/main.go
@@ -0,0 +1,116 @@
+// Command fieldhill is a controller of the fieldhill cluster scheduler, and a
+// small client for one.
+package main
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"os"
+	"runtime"
+	"runtime/debug"
+	"strings"
+	"time"
+
+	"github.com/alecthomas/kong"
+
+	"fieldhill/internal/config"
+	"fieldhill/internal/controller"
+)
+
+type cli struct {
+	Serve serveCmd `cmd:"" default:"withargs" help:"Run a controller (the default command)."`
+	Check checkCmd `cmd:"" help:"Check a settings file and print what was understood."`
+}
+
+type serveCmd struct {
+	Config     string        `required:"" help:"Settings file (TOML) of the platform." type:"existingfile"`
+	LogLevel   string        `env:"LOG_LEVEL" default:"info" help:"How much to log: error, info or debug."`
+	Beta       float64       `env:"FIELDHILL_BETA" default:"0.8" help:"DAD: weight of image locality against load, 0 to 1."`
+	Threshold  float64       `env:"FIELDHILL_THRESHOLD" default:"0.5" help:"DAD: scores below it count as local."`
+	WaitRounds int           `env:"FIELDHILL_WAIT_ROUNDS" default:"2" help:"DAD: rounds a task may wait for a busy machine with its image."`
+	Round      time.Duration `env:"FIELDHILL_ROUND" default:"2s" help:"DAD: length of a round."`
+}
+
+func (s *serveCmd) Validate() error {
+	switch {
+	case !(s.Beta >= 0 && s.Beta <= 1):
+		return fmt.Errorf("beta must be from 0 to 1")
+	case !(s.Threshold >= 0 && s.Threshold <= 2):
+		return fmt.Errorf("threshold must be from 0 to 2")
+	case s.WaitRounds < 0 || s.WaitRounds > 1000:
+		return fmt.Errorf("wait-rounds must be from 0 to 1000")
+	case s.Round < 50*time.Millisecond || s.Round > time.Minute:
+		return fmt.Errorf("round must be from 50ms to 1m")
+	}
+	_, err := level(s.LogLevel)
+	return err
+}
+
+func level(s string) (slog.Level, error) {
+	switch strings.ToLower(s) {
+	case "error":
+		return slog.LevelError, nil
+	case "info", "":
+		return slog.LevelInfo, nil
+	case "debug":
+		return slog.LevelDebug, nil
+	}
+	return 0, fmt.Errorf("log level %q is none of error, info, debug", s)
+}
+
+func (s *serveCmd) Run() error {
+	set, err := config.Load(s.Config)
+	if err != nil {
+		return err
+	}
+	lv, _ := level(s.LogLevel)
+	logger := slog.New(slog.NewTextHandler(os.Stderr, &slog.HandlerOptions{Level: lv}))
+	// The heap must stay well below the machine's limit, which counts everything.
+	debug.SetMemoryLimit(int64(set.Params.Limits.MemoryMB * 0.55 * (1 << 20)))
+	if share := set.Params.Limits.CPUShare; share < 1.5 {
+		runtime.GOMAXPROCS(1) // threads beyond the share only cost switches
+	}
+	return controller.New(set, controller.Options{
+		Beta: s.Beta, Threshold: s.Threshold, WaitRounds: s.WaitRounds, Round: s.Round,
+	}, logger).Run(context.Background())
+}
+
+type checkCmd struct {
+	File string `arg:"" help:"Settings file (TOML)." type:"existingfile"`
+}
+
+func (c *checkCmd) Run() error {
+	set, err := config.Load(c.File)
+	if err != nil {
+		return err
+	}
+	p := &set.Params
+	fmt.Printf("node %s in zone %s, users at %s, controllers at %s\n", set.Node, set.Zone, set.Bind, set.PeerListen)
+	for _, m := range set.Members {
+		fmt.Printf("member %s in zone %s at %s\n", m.Node, m.Zone, m.Addr)
+	}
+	for _, t := range p.Teams {
+		fmt.Printf("team %s: %g CPUs and %g GPUs guaranteed, at most %s CPUs and %s GPUs\n", t.Name, t.CPUs, t.GPUs, most(t.CPUsMax), most(t.GPUsMax))
+	}
+	for _, o := range p.Objectives {
+		fmt.Printf("objective %s %s: %.4g%% within %g s\n", o.Kind, o.Class, 100*o.Share, o.WithinS)
+	}
+	fmt.Printf("workers: report every %g s, lease %g s, cancelled within %g s; leases kept without a leader for at most %v\n",
+		p.Workers.ReportS, p.Workers.LeaseS, p.Workers.CancelS, set.KeepBound())
+	return nil
+}
+
+func most(f float64) string {
+	if f == 0 {
+		return "any number of"
+	}
+	return fmt.Sprintf("%g", f)
+}
+
+func main() {
+	var c cli
+	ctx := kong.Parse(&c, kong.Name("fieldhill"), kong.Description("A cluster scheduler: decides what runs where, rents the machines, and answers the users."),
+		kong.UsageOnError())
+	ctx.FatalIfErrorf(ctx.Run())
+}
--- /dev/null
+++ b/internal/api/api.go
@@ -0,0 +1,144 @@
+// Package api is the HTTP face of a controller, for users, workers and health
+// checks. It decodes, bounds and answers; what the answer is, a Service decides.
+package api
+
+import (
+	"context"
+	"errors"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"golang.org/x/net/netutil"
+
+	"fieldhill/internal/peer"
+	"fieldhill/wire"
+)
+
+// Service decides the answers.
+type Service interface {
+	Submit(ctx context.Context, body []byte) *peer.Reply
+	Status(ctx context.Context, id string) *peer.Reply
+	Cancel(ctx context.Context, id string) *peer.Reply
+	Report(ctx context.Context, r *wire.Report) *peer.Reply
+	Ready() bool
+}
+
+// Encode makes a reply with a message.
+func Encode(status int, v any) *peer.Reply {
+	b, err := wire.Marshal(v)
+	if err != nil {
+		return &peer.Reply{Status: http.StatusInternalServerError}
+	}
+	return &peer.Reply{Status: status, Body: b}
+}
+
+// Refuse makes a reply with a reason.
+func Refuse(status int, reason string) *peer.Reply {
+	return Encode(status, &wire.Problem{Error: reason})
+}
+
+// Later makes a reply that tells when to come back.
+func Later(reason string, seconds int) *peer.Reply {
+	r := Refuse(http.StatusServiceUnavailable, reason)
+	r.RetryAfter = seconds
+	return r
+}
+
+// Handler routes requests to a service.
+func Handler(s Service, logger *slog.Logger) http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST "+wire.PathJobs, func(w http.ResponseWriter, r *http.Request) {
+		body, err := readBody(w, r)
+		if err != nil {
+			write(w, Refuse(http.StatusBadRequest, err.Error()))
+			return
+		}
+		write(w, s.Submit(r.Context(), body))
+	})
+	mux.HandleFunc("GET "+wire.PathJobs+"/{id}", func(w http.ResponseWriter, r *http.Request) {
+		write(w, s.Status(r.Context(), r.PathValue("id")))
+	})
+	mux.HandleFunc("POST "+wire.PathJobs+"/{id}"+wire.CancelSuffix, func(w http.ResponseWriter, r *http.Request) {
+		write(w, s.Cancel(r.Context(), r.PathValue("id")))
+	})
+	mux.HandleFunc("GET "+wire.PathReady, func(w http.ResponseWriter, r *http.Request) {
+		if s.Ready() {
+			w.WriteHeader(http.StatusOK)
+		} else {
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}
+	})
+	mux.HandleFunc("POST "+wire.PathReport, func(w http.ResponseWriter, r *http.Request) {
+		body, err := readBody(w, r)
+		var rep wire.Report
+		if err == nil {
+			err = wire.Unmarshal(body, &rep)
+		}
+		if err == nil && (rep.Machine == "" || rep.Session == 0) {
+			err = errors.New("no machine or session")
+		}
+		if err != nil {
+			logger.Warn("malformed report", "from", r.RemoteAddr, "err", err)
+			write(w, Refuse(http.StatusBadRequest, err.Error()))
+			return
+		}
+		write(w, s.Report(r.Context(), &rep))
+	})
+	return mux
+}
+
+func readBody(w http.ResponseWriter, r *http.Request) ([]byte, error) {
+	if r.ContentLength > wire.MaxBody {
+		return nil, errors.New("body too large")
+	}
+	if n := r.ContentLength; n >= 0 {
+		b := make([]byte, n)
+		_, err := io.ReadFull(r.Body, b)
+		return b, err
+	}
+	return io.ReadAll(http.MaxBytesReader(w, r.Body, wire.MaxBody))
+}
+
+func write(w http.ResponseWriter, a *peer.Reply) {
+	h := w.Header()
+	h["Content-Type"] = contentType
+	h["Content-Length"] = []string{strconv.Itoa(len(a.Body))}
+	if a.RetryAfter > 0 {
+		h["Retry-After"] = []string{strconv.Itoa(a.RetryAfter)}
+	}
+	w.WriteHeader(a.Status)
+	_, _ = w.Write(a.Body)
+}
+
+var contentType = []string{wire.ContentType}
+
+// Serve answers on a listener until the context ends, with a bounded number of
+// connections.
+func Serve(ctx context.Context, ln net.Listener, maxConns int, h http.Handler, logger *slog.Logger) error {
+	srv := &http.Server{
+		Handler: h, ReadHeaderTimeout: 10 * time.Second, ReadTimeout: 15 * time.Second, WriteTimeout: 15 * time.Second,
+		IdleTimeout: 90 * time.Second, MaxHeaderBytes: 8 << 10,
+		ErrorLog: slog.NewLogLogger(quiet{logger.Handler()}, slog.LevelDebug),
+	}
+	stop := context.AfterFunc(ctx, func() { srv.Close() })
+	defer stop()
+	err := srv.Serve(netutil.LimitListener(ln, maxConns))
+	if ctx.Err() != nil || errors.Is(err, http.ErrServerClosed) {
+		return ctx.Err()
+	}
+	return err
+}
+
+// quiet trims the server's own messages, which clients cause.
+type quiet struct{ slog.Handler }
+
+// Handle passes a record on.
+func (q quiet) Handle(ctx context.Context, r slog.Record) error {
+	r.Message = strings.TrimSpace(r.Message)
+	return q.Handler.Handle(ctx, r)
+}
--- /dev/null
+++ b/internal/codec/codec.go
@@ -0,0 +1,112 @@
+// Package codec holds the primitives of the hand-written binary formats: the
+// frames between controllers and the records in the log. Lengths and counts are
+// varints; a Reader keeps its first error, so that a record is read straight
+// through and checked once.
+package codec
+
+import (
+	"encoding/binary"
+	"errors"
+	"math"
+)
+
+// ErrShort says that a record ended early or holds an impossible length.
+var ErrShort = errors.New("codec: truncated or malformed")
+
+// Uint appends a varint.
+func Uint(b []byte, v uint64) []byte { return binary.AppendUvarint(b, v) }
+
+// Float appends a float.
+func Float(b []byte, f float64) []byte {
+	return binary.LittleEndian.AppendUint64(b, math.Float64bits(f))
+}
+
+// String appends a length and text.
+func String(b []byte, s string) []byte {
+	return append(Uint(b, uint64(len(s))), s...)
+}
+
+// Bytes appends a length and bytes.
+func Bytes(b, s []byte) []byte {
+	return append(Uint(b, uint64(len(s))), s...)
+}
+
+// Bool appends one byte.
+func Bool(b []byte, v bool) []byte {
+	if v {
+		return append(b, 1)
+	}
+	return append(b, 0)
+}
+
+// Reader reads what the functions above wrote.
+type Reader struct {
+	B   []byte
+	Err error
+}
+
+func (r *Reader) fail() {
+	r.Err = ErrShort
+	r.B = nil
+}
+
+// Uint reads a varint.
+func (r *Reader) Uint() uint64 {
+	v, n := binary.Uvarint(r.B)
+	if n <= 0 {
+		r.fail()
+		return 0
+	}
+	r.B = r.B[n:]
+	return v
+}
+
+// Max reads a varint that must not exceed a limit.
+func (r *Reader) Max(limit uint64) int {
+	v := r.Uint()
+	if v > limit {
+		r.fail()
+		return 0
+	}
+	return int(v)
+}
+
+// Float reads a float.
+func (r *Reader) Float() float64 {
+	if len(r.B) < 8 {
+		r.fail()
+		return 0
+	}
+	v := math.Float64frombits(binary.LittleEndian.Uint64(r.B))
+	r.B = r.B[8:]
+	return v
+}
+
+// Bytes reads a length and bytes; they alias the input.
+func (r *Reader) Bytes() []byte {
+	n := r.Uint()
+	if r.Err != nil || n > uint64(len(r.B)) {
+		r.fail()
+		return nil
+	}
+	v := r.B[:n]
+	r.B = r.B[n:]
+	return v
+}
+
+// String reads a length and text.
+func (r *Reader) String() string { return string(r.Bytes()) }
+
+// Bool reads one byte.
+func (r *Reader) Bool() bool {
+	if len(r.B) < 1 || r.B[0] > 1 {
+		r.fail()
+		return false
+	}
+	v := r.B[0] == 1
+	r.B = r.B[1:]
+	return v
+}
+
+// Done tells whether everything was read, and well.
+func (r *Reader) Done() bool { return r.Err == nil && len(r.B) == 0 }
--- /dev/null
+++ b/internal/controller/house.go
@@ -0,0 +1,292 @@
+package controller
+
+import (
+	"net/http"
+	"strings"
+	"time"
+
+	"fieldhill/internal/config"
+	"fieldhill/internal/fleet"
+	"fieldhill/internal/model"
+	"fieldhill/internal/mphttp"
+	"fieldhill/wire"
+)
+
+// This file is the leader's dealings with the cloud, and what is done regularly.
+
+func (n *Node) housekeep() {
+	n.judgeReady()
+	if len(n.redirects) > 1000 {
+		clear(n.redirects)
+	}
+	r := n.role
+	if r == nil || !n.active() {
+		return
+	}
+	for mc := range r.touched {
+		n.direct(mc)
+	}
+	now := time.Now()
+	if now.Sub(r.lastTypes) > 60*time.Second || !n.m.TypesKnown() && now.Sub(r.lastTypes) > time.Second {
+		r.lastTypes = now
+		n.askTypes(r)
+	}
+	if !r.listing && now.Sub(r.lastList) > max(2*time.Second, config.Seconds(4/n.set.Params.Cloud.RPS)) {
+		r.listing, r.lastList = true, now
+		n.list(r)
+	}
+	if now.Sub(r.lastFleet) > time.Second && now.After(r.placeFrom) && !r.stalled() {
+		r.lastFleet = now
+		n.runFleet(r)
+	}
+	n.returnMachines(r)
+}
+
+func (n *Node) askTypes(r *role) {
+	go func() {
+		types, err := n.cloud.Types(r.ctx)
+		n.post(func() {
+			if n.role != r {
+				return
+			}
+			if err != nil {
+				n.log.Warn("cloud does not tell its machine types", "err", err)
+				return
+			}
+			for i := range types {
+				n.learnType(&types[i])
+			}
+		})
+	}()
+}
+
+// learnType logs a type that is new or has changed in more than its price.
+func (n *Node) learnType(t *wire.MachineType) {
+	if id, ok := n.m.TypeNames.Find(t.Name); ok && int(id) < len(n.m.Types) && n.m.Types[id].Known {
+		old := &n.m.Types[id].MachineType
+		a, b := *old, *t
+		a.Price, a.SpotPrice, a.Zones = 0, 0, nil
+		b.Price, b.SpotPrice, b.Zones = 0, 0, nil
+		if a.CPUs == b.CPUs && a.GPUs == b.GPUs && a.MemoryGB == b.MemoryGB && a.CacheGB == b.CacheGB &&
+			a.FetchGBPerS == b.FetchGBPerS && a.BootS == b.BootS && strings.Join(old.Zones, " ") == strings.Join(t.Zones, " ") {
+			old.Price, old.SpotPrice = t.Price, t.SpotPrice
+			return
+		}
+	}
+	n.propose(&model.Entry{Kind: model.EntryType, Type: t})
+	n.dirty = true
+}
+
+func (n *Node) list(r *role) {
+	began := n.now()
+	go func() {
+		list, err := n.cloud.List(r.ctx)
+		n.post(func() {
+			if n.role != r {
+				return
+			}
+			r.listing = false
+			if err != nil {
+				n.log.Debug("cloud does not list machines", "err", err)
+				return
+			}
+			for i := range list {
+				n.listed(&list[i], began)
+			}
+		})
+	}()
+}
+
+// listed takes in a row of the machine list. The list lags, so only three things
+// are taken from it: machines nobody knew, machines that failed, and addresses.
+func (n *Node) listed(l *wire.ListedMachine, began model.Time) {
+	if n.m.Tombs[l.Name] {
+		return
+	}
+	mc := n.m.ByName[l.Name]
+	if mc == nil {
+		n.log.Info("machine listed", "machine", l.Name, "type", l.Type, "zone", l.Zone, "state", l.State)
+		n.propose(&model.Entry{Kind: model.EntryMachine, Machine: n.m.NextMachine, At: time.Now().UnixMilli() - int64(l.AgeS*1000),
+			Info: &model.MachineInfo{Name: l.Name, Addr: l.Addr, Type: l.Type, Zone: l.Zone, Spot: l.Spot}})
+		mc = n.m.ByName[l.Name]
+	}
+	if mc.Info.Addr == "" {
+		mc.Info.Addr = l.Addr
+	}
+	mc.Listed = l.State
+	if l.State == wire.MachineFailed {
+		n.giveUp(mc, "the cloud lists it as failed")
+	}
+}
+
+// giveUp has a machine returned; its tasks are gone once the cloud says so.
+func (n *Node) giveUp(mc *model.Machine, why string) {
+	if mc.Releasing {
+		return
+	}
+	mc.Releasing = true
+	n.log.Info("returning a machine", "machine", mc.Info.Name, "type", mc.Info.Type, "zone", mc.Info.Zone, "tasks", len(mc.Runs), "why", why)
+}
+
+// runFleet rents and returns.
+func (n *Node) runFleet(r *role) {
+	if !n.m.TypesKnown() {
+		return
+	}
+	n.judgeMachines(r)
+	now := n.now()
+	n.fleet.Pending = r.pending
+	p := n.fleet.Plan(n.m, now)
+	n.sched.Headroom = p.Headroom
+	for _, mc := range p.Returns {
+		n.giveUp(mc, "it is idle and nothing needs it")
+	}
+	for _, h := range p.Hires {
+		n.hire(r, h)
+	}
+}
+
+// judgeMachines gives up machines that are silent, faulty or never came up.
+func (n *Node) judgeMachines(r *role) {
+	now := n.now()
+	silent := n.silentAfter()
+	up, mute := map[int32]int{}, map[int32]int{}
+	quiet := func(mc *model.Machine) bool {
+		limit := silent
+		if !mc.Reported {
+			limit += 6 * time.Second // its worker may still be looking for the leader
+		}
+		return now-mc.LastReport > limit
+	}
+	was := func(mc *model.Machine) bool { return mc.Reported || len(mc.Runs) > 0 }
+	for _, mc := range n.m.Order {
+		if was(mc) {
+			up[mc.Zone]++
+			if quiet(mc) {
+				mute[mc.Zone]++
+			}
+		}
+	}
+	for _, mc := range n.m.Order {
+		boot := config.Seconds(max(n.m.TypeOf(mc).BootS, 10))
+		switch {
+		case mc.Releasing:
+		case mc.Bad && len(mc.Runs) == 0:
+			n.giveUp(mc, "it is faulty")
+		case was(mc) && quiet(mc):
+			// Many machines of a zone silent at once look like a cut, in which
+			// they go on working; one or two look dead or hung.
+			cut := mute[mc.Zone] >= 3 && mute[mc.Zone]*2 > up[mc.Zone]
+			if cut && now-mc.LastReport < 100*time.Second {
+				continue
+			}
+			n.giveUp(mc, "it is silent")
+		case !was(mc) && now-mc.KnownSince > 3*boot+15*time.Second:
+			n.giveUp(mc, "it never came up")
+		}
+	}
+}
+
+// hire asks for machines. A request without an answer is repeated under the same
+// name until its fate is known: it rents nothing twice.
+func (n *Node) hire(r *role, h fleet.Hire) {
+	h.Count = min(h.Count, wire.MaxHire)
+	r.hires++
+	req := &wire.Hire{Request: fleet.Name(r.ld.Term, r.hires), Type: n.m.TypeNames.Name(h.Type), Zone: n.m.Zones.Name(h.Zone),
+		Spot: h.Spot, Count: h.Count}
+	r.pending[h.Offer] += h.Count
+	n.log.Info("renting", "type", req.Type, "zone", req.Zone, "spot", req.Spot, "count", req.Count, "request", req.Request)
+	go func() {
+		pause := 500 * time.Millisecond
+		for {
+			names, err := n.cloud.Hire(r.ctx, req)
+			code := mphttp.Code(err)
+			if r.ctx.Err() != nil {
+				return
+			}
+			refused := code == http.StatusBadRequest || code == http.StatusServiceUnavailable && noCapacity(err)
+			if err == nil || refused {
+				n.post(func() { n.hired(r, h, req, names, err) })
+				return
+			}
+			n.log.Debug("renting without a result", "request", req.Request, "err", err)
+			select {
+			case <-r.ctx.Done():
+				return
+			case <-time.After(pause):
+			}
+			pause = min(2*pause, 4*time.Second)
+		}
+	}()
+}
+
+func noCapacity(err error) bool {
+	var p wire.Problem
+	se, ok := err.(*mphttp.StatusError)
+	return ok && wire.Unmarshal(se.Body, &p) == nil && p.Error == "no capacity"
+}
+
+func (n *Node) hired(r *role, h fleet.Hire, req *wire.Hire, names []string, err error) {
+	if n.role != r {
+		return
+	}
+	if r.pending[h.Offer] -= h.Count; r.pending[h.Offer] <= 0 {
+		delete(r.pending, h.Offer)
+	}
+	if err != nil || len(names) < h.Count {
+		n.fleet.Refused(h.Offer, n.now())
+		n.log.Info("not all could be rented", "type", req.Type, "zone", req.Zone, "spot", req.Spot, "wanted", h.Count, "got", len(names))
+	} else {
+		n.fleet.Filled(h.Offer)
+	}
+	for _, name := range names {
+		if n.m.ByName[name] != nil || n.m.Tombs[name] {
+			continue
+		}
+		n.propose(&model.Entry{Kind: model.EntryMachine, Machine: n.m.NextMachine, At: time.Now().UnixMilli(),
+			Info: &model.MachineInfo{Name: name, Type: req.Type, Zone: req.Zone, Spot: req.Spot}})
+	}
+}
+
+// returnMachines asks the cloud to take back what was given up. Its answer is the
+// evidence that the machines and everything on them are gone.
+func (n *Node) returnMachines(r *role) {
+	if r.releasing {
+		return
+	}
+	var names []string
+	for _, mc := range n.m.Order {
+		if mc.Releasing && len(names) < wire.MaxRelease {
+			names = append(names, mc.Info.Name)
+		}
+	}
+	if len(names) == 0 {
+		return
+	}
+	r.releasing = true
+	go func() {
+		err := n.cloud.Release(r.ctx, names)
+		if err != nil && r.ctx.Err() == nil {
+			n.log.Debug("returning without a result", "err", err)
+			select {
+			case <-r.ctx.Done():
+			case <-time.After(500 * time.Millisecond):
+			}
+		}
+		n.post(func() {
+			if n.role != r {
+				return
+			}
+			r.releasing = false
+			if err != nil {
+				return
+			}
+			for _, name := range names {
+				if mc := n.m.ByName[name]; mc != nil {
+					n.propose(&model.Entry{Kind: model.EntryGone, Machine: mc.ID})
+					n.dirty = true
+				}
+			}
+		})
+	}()
+}
--- /dev/null
+++ b/internal/controller/node.go
@@ -0,0 +1,574 @@
+// Package controller wires everything together. One goroutine owns the model
+// (the loop); users, workers, the log, the cloud and the other controllers reach
+// it by posting work to it.
+//
+// Nothing is done and nothing is told before it is in the log: entries are
+// applied to the model at once, so that later decisions see them, but commands
+// and answers that depend on them wait until their batch is committed. If the
+// lead is lost, the model is thrown away and read anew.
+package controller
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"net"
+	"os"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"fieldhill/internal/api"
+	"fieldhill/internal/cloud"
+	"fieldhill/internal/codec"
+	"fieldhill/internal/config"
+	"fieldhill/internal/fleet"
+	"fieldhill/internal/lead"
+	"fieldhill/internal/model"
+	"fieldhill/internal/oplog"
+	"fieldhill/internal/peer"
+	"fieldhill/internal/sched"
+	"fieldhill/internal/statesvc"
+	"fieldhill/internal/worker"
+)
+
+// Options are the operator's own settings.
+type Options struct {
+	Beta       float64
+	Threshold  float64
+	WaitRounds int
+	Round      time.Duration
+}
+
+// termBits is how many low bits of a token are a machine's own.
+const termBits = 24
+
+// Node is a controller.
+type Node struct {
+	set    *config.Settings
+	opt    Options
+	log    *slog.Logger
+	start  time.Time
+	state  *statesvc.Client
+	oplog  *oplog.Log
+	cloud  *cloud.Client
+	worker *worker.Client
+	links  map[string]*peer.Link
+	work   chan func()
+	ctx    context.Context
+
+	// Owned by the loop.
+	m         *model.Model
+	loaded    bool
+	applied   uint64 // last batch applied (follower) or appended (leader)
+	sched     *sched.Sched
+	fleet     *fleet.Fleet
+	role      *role // nil: follower
+	leader    *oplog.Leader
+	caught    time.Time // the replica was complete then
+	redirects map[string]time.Time
+	dirty     bool
+	lastRound time.Time
+
+	readyFlag atomic.Bool
+	catchMu   sync.Mutex
+	catching  chan struct{}
+	catchErr  error
+}
+
+// role is what a leader has.
+type role struct {
+	ld        oplog.Leader
+	until     time.Time // the lead is trusted until then
+	committed uint64
+	writing   bool
+	wroteAt   time.Time
+	queue     [][]byte // batches not yet handed to the writer; the last one grows
+	batches   chan oplog.Batch
+	waiters   []waiter
+	placeFrom time.Time
+	sinceSnap int
+	compact   chan snapshot
+	hires     int
+	pending   map[fleet.Offer]int
+	cancel    context.CancelFunc
+	ctx       context.Context
+	lastFleet time.Time
+	lastTypes time.Time
+	listing   bool
+	lastList  time.Time
+	releasing bool
+	touched   map[*model.Machine]bool
+}
+
+type snapshot struct {
+	seq  uint64
+	data []byte
+}
+
+type waiter struct {
+	seq uint64
+	fn  func(ok bool)
+}
+
+// New makes a node.
+func New(set *config.Settings, opt Options, logger *slog.Logger) *Node {
+	p := &set.Params
+	members := float64(len(set.Members) + 1)
+	n := &Node{
+		set: set, opt: opt, log: logger, start: time.Now(),
+		state:  statesvc.New(set.Endpoints.State, max(4, p.State.RPS/members*0.95)),
+		cloud:  cloud.New(set.Endpoints.Cloud, p.Cloud.RPS*0.8),
+		worker: worker.New(3*time.Second, max(16, p.Limits.MaxSockets/4)),
+		links:  map[string]*peer.Link{}, work: make(chan func(), 512), redirects: map[string]time.Time{},
+	}
+	n.oplog = oplog.New(n.state, p.State.WriteRPS, p.State.ValueKB, p.State.TxnOps, logger)
+	for _, m := range set.Members {
+		n.links[m.Node] = peer.NewLink(m.Node, m.Addr, logger)
+	}
+	n.reset()
+	return n
+}
+
+func (n *Node) reset() {
+	n.m = model.New(&n.set.Params)
+	n.applied, n.loaded, n.role = 0, false, nil
+}
+
+func (n *Node) now() model.Time { return time.Since(n.start) }
+
+// Run serves until the context ends.
+func (n *Node) Run(ctx context.Context) error {
+	ln, err := net.Listen("tcp", n.set.Bind)
+	if err != nil {
+		return err
+	}
+	pln, err := net.Listen("tcp", n.set.PeerListen)
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	n.ctx = ctx
+	var wg sync.WaitGroup
+	defer wg.Wait()
+	duty := func(name string, f func() error) {
+		wg.Go(func() {
+			if err := f(); err != nil && ctx.Err() == nil {
+				cancel(fmt.Errorf("%s: %w", name, err))
+			}
+		})
+	}
+	duty("loop", func() error { n.loop(ctx); return nil })
+	duty("storage", func() error { n.storage(ctx); return nil })
+	duty("peers", func() error { return peer.Serve(ctx, pln, n.answerPeer, n.log) })
+	for _, l := range n.links {
+		duty("link", func() error { l.Run(ctx); return nil })
+	}
+	conns := max(32, n.set.Params.Limits.MaxSockets*6/10)
+	duty("api", func() error { return api.Serve(ctx, ln, conns, api.Handler(n, n.log), n.log) })
+	n.log.Info("started", "node", n.set.Node, "zone", n.set.Zone, "bind", n.set.Bind, "pid", os.Getpid())
+	<-ctx.Done()
+	return context.Cause(ctx)
+}
+
+// errBusy says that the loop is behind: the request is refused at once.
+var errBusy = errors.New("controller: busy")
+
+// post hands work to the loop without waiting for it.
+func (n *Node) post(f func()) {
+	select {
+	case n.work <- f:
+	case <-n.ctx.Done():
+	}
+}
+
+// offer hands a user's or worker's work to the loop, unless it is far behind.
+func (n *Node) offer(f func()) error {
+	select {
+	case n.work <- f:
+		return nil
+	default:
+		return errBusy
+	}
+}
+
+// ask runs work in the loop and waits for it.
+func (n *Node) ask(f func()) {
+	done := make(chan struct{})
+	n.post(func() { f(); close(done) })
+	select {
+	case <-done:
+	case <-n.ctx.Done():
+	}
+}
+
+const (
+	minGap     = 40 * time.Millisecond // between two rounds
+	houseEvery = 250 * time.Millisecond
+)
+
+func (n *Node) loop(ctx context.Context) {
+	round := time.NewTicker(n.opt.Round)
+	defer round.Stop()
+	house := time.NewTicker(houseEvery)
+	defer house.Stop()
+	wake := time.NewTimer(time.Hour)
+	defer wake.Stop()
+	armed := false
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case f := <-n.work:
+			f()
+			// Whatever else is waiting goes into the same batch.
+			for k := 0; k < 64; k++ {
+				select {
+				case f := <-n.work:
+					f()
+					continue
+				default:
+				}
+				break
+			}
+		case <-round.C:
+			n.round(true)
+		case <-house.C:
+			n.housekeep()
+		case <-wake.C:
+			armed = false
+			n.round(false)
+		}
+		if n.dirty && !armed {
+			armed = true
+			wake.Reset(max(0, minGap-time.Since(n.lastRound)))
+		}
+		n.flush()
+	}
+}
+
+// active tells whether this node leads and may say so.
+func (n *Node) active() bool {
+	return n.role != nil && time.Now().Before(n.role.until)
+}
+
+// seq is the log number that an entry appended now will get.
+func (r *role) seq() uint64 {
+	s := r.committed
+	if r.writing {
+		s++
+	}
+	return s + uint64(max(1, len(r.queue)))
+}
+
+// propose appends an entry to the log and applies it; it returns its number.
+func (n *Node) propose(e *model.Entry) uint64 {
+	r := n.role
+	b := e.Append(nil)
+	if k := len(r.queue); k == 0 || len(r.queue[k-1])+len(b) > n.oplog.MaxData() {
+		r.queue = append(r.queue, nil)
+	}
+	k := len(r.queue) - 1
+	r.queue[k] = append(r.queue[k], b...)
+	seq := r.seq()
+	if err := n.m.Apply(e, seq, n.now()); err != nil {
+		n.log.Error("entry does not apply", "err", err)
+	}
+	return seq
+}
+
+// whenCommitted runs fn once a batch is in the log, or with false once it is
+// known that this node can't tell.
+func (n *Node) whenCommitted(seq uint64, fn func(ok bool)) {
+	r := n.role
+	if r == nil {
+		fn(false)
+		return
+	}
+	if seq <= r.committed {
+		fn(true)
+		return
+	}
+	r.waiters = append(r.waiters, waiter{seq, fn})
+}
+
+// flush hands the next batch to the writer when it is free.
+func (n *Node) flush() {
+	r := n.role
+	if r == nil || r.writing || len(r.queue) == 0 {
+		return
+	}
+	b := oplog.Batch{Seq: r.committed + 1, Term: r.ld.Term, Data: r.queue[0]}
+	r.queue = r.queue[1:]
+	r.writing, r.wroteAt = true, time.Now()
+	r.batches <- b
+}
+
+// stalled tells whether a write has been under way for suspiciously long.
+func (r *role) stalled() bool {
+	return r.writing && time.Since(r.wroteAt) > 1200*time.Millisecond || len(r.queue) > 16
+}
+
+// committedTo notes that a batch is in the log.
+func (n *Node) committedTo(r *role, seq uint64) {
+	if n.role != r {
+		return
+	}
+	r.committed, r.writing = seq, false
+	n.applied = seq
+	n.m.Forget(seq)
+	k := 0
+	var ready []waiter
+	for _, w := range r.waiters {
+		if w.seq <= seq {
+			ready = append(ready, w)
+		} else {
+			r.waiters[k] = w
+			k++
+		}
+	}
+	clear(r.waiters[k:])
+	r.waiters = r.waiters[:k]
+	for _, w := range ready {
+		w.fn(true)
+	}
+	for mc := range r.touched {
+		n.direct(mc)
+	}
+	r.sinceSnap++
+	if r.sinceSnap > snapEvery && len(r.queue) == 0 && r.compact != nil {
+		select {
+		case r.compact <- snapshot{seq, n.m.Snapshot()}:
+			r.sinceSnap = 0
+		default:
+		}
+	}
+}
+
+// snapEvery is after how many batches the log is compacted.
+const snapEvery = 500
+
+// storage keeps the replica up to date, and leads when elected.
+func (n *Node) storage(ctx context.Context) {
+	pause := func(d time.Duration) {
+		select {
+		case <-ctx.Done():
+		case <-time.After(d):
+		}
+	}
+	for ctx.Err() == nil {
+		rev, err := n.load(ctx)
+		if err != nil {
+			n.log.Warn("can't read the log", "err", err)
+			pause(300 * time.Millisecond)
+			continue
+		}
+		for ctx.Err() == nil {
+			var leader *oplog.Leader
+			n.ask(func() { leader = n.leader })
+			if leader == nil {
+				won, err := lead.Acquire(ctx, n.state, n.set.Node, n.log)
+				if err == nil {
+					if err := n.serveTerm(ctx, won); err != nil && ctx.Err() == nil {
+						n.log.Info("lead ended", "term", won.Term, "err", err)
+					}
+					break // read everything anew
+				}
+				if !errors.Is(err, lead.ErrTaken) {
+					pause(200 * time.Millisecond)
+				}
+			}
+			sent := time.Now()
+			t, err := n.oplog.Follow(ctx, rev, 2*time.Second)
+			if err != nil {
+				n.log.Debug("watch failed", "err", err)
+				pause(250 * time.Millisecond)
+				break
+			}
+			rev = t.Revision
+			ok := true
+			n.ask(func() { ok = n.tail(t, sent) })
+			if !ok {
+				break
+			}
+			pause(100 * time.Millisecond) // news come together, not one by one
+		}
+	}
+}
+
+// load reads the log and replaces the replica.
+func (n *Node) load(ctx context.Context) (rev uint64, err error) {
+	sent := time.Now()
+	got, err := n.oplog.Load(ctx)
+	if err != nil {
+		return 0, err
+	}
+	if got.Leader != nil && got.Leader.Node == n.set.Node {
+		// An earlier process of this node led; it is dead, so its lease may end now.
+		n.log.Info("ending the lease of this node's earlier process", "term", got.Leader.Term)
+		if err := n.state.Revoke(ctx, got.Leader.Lease); err == nil {
+			got.Leader = nil
+		}
+	}
+	n.ask(func() {
+		n.reset()
+		now := n.now()
+		if got.SnapSeq > 0 {
+			if err = n.m.Restore(got.Snapshot, got.SnapSeq, now); err != nil {
+				return
+			}
+		}
+		n.applied = got.SnapSeq
+		for _, b := range got.Batches {
+			if err = n.applyBatch(b); err != nil {
+				return
+			}
+		}
+		n.leader, n.caught, n.loaded = got.Leader, sent, true
+		n.log.Info("log read", "batches", len(got.Batches), "snapshot", got.SnapSeq, "jobs", len(n.m.Jobs), "machines", len(n.m.Order))
+	})
+	return got.Revision, err
+}
+
+// applyBatch applies a batch that others committed. One that is known already is
+// passed over.
+func (n *Node) applyBatch(b oplog.Batch) error {
+	if b.Seq <= n.applied {
+		return nil
+	}
+	if b.Seq != n.applied+1 {
+		return fmt.Errorf("batch %d follows %d", b.Seq, n.applied)
+	}
+	r := &codec.Reader{B: b.Data}
+	for len(r.B) > 0 {
+		e, err := model.ReadEntry(r)
+		if err != nil {
+			return err
+		}
+		if err := n.m.Apply(e, b.Seq, n.now()); err != nil {
+			n.log.Error("entry does not apply", "batch", b.Seq, "err", err)
+		}
+	}
+	n.applied = b.Seq
+	n.m.Forget(b.Seq)
+	return nil
+}
+
+// tail takes in what a watch saw.
+func (n *Node) tail(t *oplog.Tail, sent time.Time) bool {
+	for _, b := range t.Batches {
+		if err := n.applyBatch(b); err != nil {
+			n.log.Warn("log out of step, reading it anew", "err", err)
+			n.loaded = false
+			return false
+		}
+	}
+	if t.LeaderKnown {
+		n.leader = t.Leader
+	}
+	n.caught = sent
+	return true
+}
+
+// serveTerm leads until the lead is lost.
+func (n *Node) serveTerm(ctx context.Context, won *lead.Won) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	r := &role{
+		ld: won.Leader, until: won.Until, batches: make(chan oplog.Batch, 1), compact: make(chan snapshot, 1),
+		pending: map[fleet.Offer]int{}, cancel: cancel, ctx: ctx, touched: map[*model.Machine]bool{},
+	}
+	errs := make(chan error, 3)
+	go func() {
+		errs <- lead.Keep(ctx, n.state, won, func(until time.Time) {
+			n.post(func() {
+				r.until = until
+				if n.role == r {
+					n.caught = until.Add(-lead.Trust)
+				}
+			})
+		})
+	}()
+	defer n.ask(func() { n.stepDown(r) })
+	var after uint64
+	n.ask(func() { after = n.applied })
+	batches, err := n.oplog.Since(ctx, after)
+	for err != nil && ctx.Err() == nil {
+		select {
+		case lost := <-errs:
+			return lost
+		case <-time.After(100 * time.Millisecond):
+		}
+		batches, err = n.oplog.Since(ctx, after)
+	}
+	n.ask(func() {
+		for _, b := range batches {
+			if err = n.applyBatch(b); err != nil {
+				return
+			}
+		}
+		n.takeLead(r)
+	})
+	if err != nil {
+		return err
+	}
+	go func() {
+		for {
+			select {
+			case <-ctx.Done():
+				return
+			case b := <-r.batches:
+				if err := n.oplog.Append(ctx, &r.ld, b); err != nil {
+					errs <- err
+					return
+				}
+				n.post(func() { n.committedTo(r, b.Seq) })
+			}
+		}
+	}()
+	go func() {
+		for {
+			select {
+			case <-ctx.Done():
+				return
+			case s := <-r.compact:
+				err := n.oplog.Compact(ctx, &r.ld, s.seq, s.data)
+				n.log.Debug("log compacted", "seq", s.seq, "bytes", len(s.data), "err", err)
+				if errors.Is(err, oplog.ErrDeposed) {
+					errs <- err
+					return
+				}
+			}
+		}
+	}()
+	return <-errs
+}
+
+func (n *Node) takeLead(r *role) {
+	n.role = r
+	n.leader = &r.ld
+	r.committed = n.applied
+	r.sinceSnap = 0
+	n.m.BeginTerm(r.ld.Term<<termBits, n.now())
+	n.sched = sched.New(sched.Params{Beta: n.opt.Beta, Threshold: n.opt.Threshold, WaitRounds: n.opt.WaitRounds, Objectives: n.set.Params.Objectives})
+	n.fleet = fleet.New(n.set.Params.Objectives)
+	// Machines that worked for the last leader report within this time.
+	r.placeFrom = time.Now().Add(config.Seconds(n.set.Params.Workers.ReportS * 1.25))
+	n.dirty = true
+	n.log.Info("leading", "term", r.ld.Term, "seq", n.applied, "jobs", len(n.m.Jobs), "machines", len(n.m.Order))
+}
+
+func (n *Node) stepDown(r *role) {
+	r.cancel()
+	if n.role != r {
+		return
+	}
+	n.reset()
+	n.leader = nil
+	for _, w := range r.waiters {
+		w.fn(false)
+	}
+	r.waiters = nil
+}
--- /dev/null
+++ b/internal/controller/users.go
@@ -0,0 +1,427 @@
+package controller
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"time"
+
+	"fieldhill/internal/api"
+	"fieldhill/internal/model"
+	"fieldhill/internal/peer"
+	"fieldhill/wire"
+)
+
+// This file answers users: as the leader from the model, and otherwise by asking
+// the leader, or from the replica after reading the log up to the present.
+
+// answerWithin bounds how long an answer may wait for the log. A write that
+// takes longer is still repeated, but its user is told at once to ask again.
+const answerWithin = 2500 * time.Millisecond
+
+// inLoop runs f in the loop; f must send exactly one reply, at once or later.
+func (n *Node) inLoop(ctx context.Context, f func(send func(*peer.Reply))) *peer.Reply {
+	ch := make(chan *peer.Reply, 1)
+	if n.offer(func() { f(func(r *peer.Reply) { ch <- r }) }) != nil {
+		return api.Later("busy", 2)
+	}
+	t := time.NewTimer(answerWithin)
+	defer t.Stop()
+	select {
+	case r := <-ch:
+		return r
+	case <-t.C:
+		return api.Later("the state service is slow", 1)
+	case <-ctx.Done():
+		return api.Later("given up", 1)
+	case <-n.ctx.Done():
+		return api.Later("stopping", 1)
+	}
+}
+
+var noLeader = api.Later("no leader at the moment", 1)
+
+// passOn sends a request to the leader. ok is false if the leader can't be asked.
+func (n *Node) passOn(ctx context.Context, c *peer.Call) (reply *peer.Reply, ok bool) {
+	var to string
+	n.ask(func() {
+		if n.leader != nil {
+			to = n.leader.Node
+		}
+	})
+	l := n.links[to]
+	if l == nil {
+		return nil, false
+	}
+	ctx, cancel := context.WithTimeout(ctx, answerWithin)
+	defer cancel()
+	r, err := l.Call(ctx, c)
+	if err != nil {
+		n.log.Debug("leader not reached", "leader", to, "err", err)
+		return nil, false
+	}
+	return r, true
+}
+
+// answerPeer answers another controller.
+func (n *Node) answerPeer(ctx context.Context, c *peer.Call) *peer.Reply {
+	switch c.Op {
+	case peer.OpPing:
+		return &peer.Reply{Status: http.StatusOK}
+	case peer.OpSubmit:
+		return n.submitHere(ctx, c.Body)
+	case peer.OpStatus:
+		return n.statusHere(ctx, c.ID)
+	case peer.OpCancel:
+		return n.cancelHere(ctx, c.ID)
+	}
+	return api.Refuse(http.StatusNotImplemented, "unknown operation")
+}
+
+// leads tells whether this node should answer itself.
+func (n *Node) leads() (yes bool) {
+	n.ask(func() { yes = n.role != nil })
+	return yes
+}
+
+// Submit takes a job.
+func (n *Node) Submit(ctx context.Context, body []byte) *peer.Reply {
+	if _, err := wire.PeekJobID(body); err != nil {
+		return api.Refuse(http.StatusBadRequest, err.Error())
+	}
+	if n.leads() {
+		return n.submitHere(ctx, body)
+	}
+	if r, ok := n.passOn(ctx, &peer.Call{Op: peer.OpSubmit, Body: body}); ok {
+		return r
+	}
+	return noLeader
+}
+
+func (n *Node) submitHere(ctx context.Context, body []byte) *peer.Reply {
+	num, err := wire.PeekJobID(body)
+	if err != nil {
+		return api.Refuse(http.StatusBadRequest, err.Error())
+	}
+	spec, specErr := wire.ParseJob(body)
+	return n.inLoop(ctx, func(send func(*peer.Reply)) { n.submit(model.JobID(num), spec, specErr, send) })
+}
+
+func (n *Node) submit(id model.JobID, spec *wire.JobSpec, specErr error, send func(*peer.Reply)) {
+	if !n.active() {
+		send(noLeader)
+		return
+	}
+	r := n.role
+	// A known job is recognised before anything is checked: a repeat must never
+	// be told that it is invalid.
+	if n.tellKnown(id, send) {
+		return
+	}
+	switch {
+	case specErr != nil:
+		send(api.Refuse(http.StatusBadRequest, specErr.Error()))
+		return
+	case r.stalled():
+		send(api.Later("the state service does not answer", 2))
+		return
+	case !n.m.TypesKnown():
+		send(api.Later("machine types are not known yet", 1))
+		return
+	}
+	if why := n.m.CanEverRun(spec); why != "" {
+		send(api.Refuse(http.StatusUnprocessableEntity, why))
+		return
+	}
+	if n.m.LiveTasks+spec.Tasks > n.maxTasks() {
+		a := api.Later("too many unfinished tasks", 10)
+		a.Status = http.StatusTooManyRequests
+		send(a)
+		return
+	}
+	n.trimTypes(spec)
+	seq := n.propose(&model.Entry{Kind: model.EntryAccept, Job: id, Spec: spec, At: time.Now().UnixMilli()})
+	n.dirty = true
+	n.log.Debug("job accepted", "job", spec.ID, "class", spec.Class, "tasks", spec.Tasks)
+	n.whenCommitted(seq, func(ok bool) {
+		if !ok {
+			send(noLeader)
+			return
+		}
+		send(api.Encode(http.StatusCreated, &wire.JobStatus{ID: wire.JobID(uint64(id)), State: wire.JobPending}))
+	})
+}
+
+// trimTypes drops names that no machine type bears, so that a record stays small.
+func (n *Node) trimTypes(spec *wire.JobSpec) {
+	if spec.Types == nil {
+		return
+	}
+	kept := []string{}
+	for _, t := range spec.Types {
+		if id, ok := n.m.TypeNames.Find(t); ok && n.m.Types[id].Known {
+			kept = append(kept, t)
+		}
+	}
+	spec.Types = kept
+}
+
+// maxTasks bounds the memory that unfinished work takes: a task costs up to some
+// 200 bytes with its run.
+func (n *Node) maxTasks() int {
+	return max(20_000, int(n.set.Params.Limits.MemoryMB*(1<<20)/4/200))
+}
+
+// tellKnown answers for a job that is known, once what is told is committed.
+func (n *Node) tellKnown(id model.JobID, send func(*peer.Reply)) bool {
+	var seq uint64
+	if j := n.m.Jobs[id]; j != nil {
+		seq = j.AcceptSeq
+	} else if n.m.Finals[id] != 0 {
+		seq = n.m.FinalAt(id)
+	} else {
+		return false
+	}
+	n.whenCommitted(seq, func(ok bool) {
+		s := n.status(id)
+		if !ok || s == nil {
+			send(noLeader)
+			return
+		}
+		send(api.Encode(http.StatusOK, s))
+	})
+	return true
+}
+
+// status is what may be told of a job now: nothing that is not committed.
+func (n *Node) status(id model.JobID) *wire.JobStatus {
+	s := &wire.JobStatus{ID: wire.JobID(uint64(id))}
+	switch n.m.Finals[id] {
+	case model.FinalDone:
+		s.State = wire.JobDone
+		return s
+	case model.FinalCancelled:
+		s.State = wire.JobCancelled
+		return s
+	}
+	j := n.m.Jobs[id]
+	if j == nil {
+		return nil
+	}
+	s.Done, s.Running, s.State = j.Done, j.Running, wire.JobPending
+	if n.role == nil {
+		s.Running = j.Live // a replica does not know phases
+	}
+	if s.Running > 0 {
+		s.State = wire.JobRunning
+	}
+	if j.Cancelled && (n.role == nil || j.FinalSeq <= n.role.committed) {
+		s.State = wire.JobCancelled
+	}
+	return s
+}
+
+// Status tells how a job is.
+func (n *Node) Status(ctx context.Context, id string) *peer.Reply {
+	num, ok := wire.JobNumber(id)
+	if !ok {
+		return api.Refuse(http.StatusNotFound, "no such job")
+	}
+	if n.leads() {
+		return n.statusHere(ctx, id)
+	}
+	// A final state that the replica knows can't change any more.
+	var final *wire.JobStatus
+	n.ask(func() {
+		if n.role == nil && n.m.Finals[model.JobID(num)] != 0 {
+			final = n.status(model.JobID(num))
+		}
+	})
+	if final != nil {
+		return api.Encode(http.StatusOK, final)
+	}
+	if r, ok := n.passOn(ctx, &peer.Call{Op: peer.OpStatus, ID: id}); ok && r.Status != http.StatusServiceUnavailable {
+		return r
+	}
+	return n.statusFromLog(ctx, model.JobID(num))
+}
+
+func (n *Node) statusHere(ctx context.Context, id string) *peer.Reply {
+	num, ok := wire.JobNumber(id)
+	if !ok {
+		return api.Refuse(http.StatusNotFound, "no such job")
+	}
+	return n.inLoop(ctx, func(send func(*peer.Reply)) {
+		id := model.JobID(num)
+		if n.role != nil && n.m.Finals[id] != 0 && n.m.FinalAt(id) <= n.role.committed {
+			send(api.Encode(http.StatusOK, n.status(id)))
+			return
+		}
+		switch {
+		case !n.active():
+			send(noLeader)
+		case !n.tellKnown(id, send):
+			send(api.Refuse(http.StatusNotFound, "no such job"))
+		}
+	})
+}
+
+// statusFromLog answers from the replica. Whatever any node told a user was in
+// the log before; so a replica that has read the log after the request came
+// can't give an older answer.
+func (n *Node) statusFromLog(ctx context.Context, id model.JobID) *peer.Reply {
+	if err := n.catchUp(ctx); err != nil {
+		n.log.Debug("can't catch up", "err", err)
+		return noLeader
+	}
+	return n.inLoop(ctx, func(send func(*peer.Reply)) {
+		if n.role != nil || !n.loaded {
+			send(noLeader)
+			return
+		}
+		if s := n.status(id); s != nil {
+			send(api.Encode(http.StatusOK, s))
+			return
+		}
+		send(api.Refuse(http.StatusNotFound, "no such job"))
+	})
+}
+
+// catchUp reads the log's end. Requests that come while a read is under way
+// share the next one, because that one begins after they came.
+func (n *Node) catchUp(ctx context.Context) error {
+	for range 2 {
+		n.catchMu.Lock()
+		if n.catching == nil {
+			done := make(chan struct{})
+			n.catching = done
+			n.catchMu.Unlock()
+			err := n.readEnd(ctx)
+			n.catchMu.Lock()
+			n.catching, n.catchErr = nil, err
+			n.catchMu.Unlock()
+			close(done)
+			return err
+		}
+		wait := n.catching
+		n.catchMu.Unlock()
+		select {
+		case <-wait:
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+	return n.readEnd(ctx)
+}
+
+var errNotLoaded = errors.New("controller: the log is not read yet")
+
+func (n *Node) readEnd(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, 1500*time.Millisecond)
+	defer cancel()
+	var from uint64
+	var ok bool
+	n.ask(func() { from, ok = n.applied, n.loaded && n.role == nil })
+	if !ok {
+		return errNotLoaded
+	}
+	batches, err := n.oplog.Since(ctx, from)
+	if err != nil {
+		return err
+	}
+	n.ask(func() {
+		if !n.loaded || n.role != nil {
+			err = errNotLoaded
+			return
+		}
+		for _, b := range batches {
+			if err = n.applyBatch(b); err != nil {
+				return
+			}
+		}
+	})
+	return err
+}
+
+// Cancel cancels a job.
+func (n *Node) Cancel(ctx context.Context, id string) *peer.Reply {
+	if _, ok := wire.JobNumber(id); !ok {
+		return api.Refuse(http.StatusNotFound, "no such job")
+	}
+	if n.leads() {
+		return n.cancelHere(ctx, id)
+	}
+	if r, ok := n.passOn(ctx, &peer.Call{Op: peer.OpCancel, ID: id}); ok {
+		return r
+	}
+	return noLeader
+}
+
+func (n *Node) cancelHere(ctx context.Context, id string) *peer.Reply {
+	num, ok := wire.JobNumber(id)
+	if !ok {
+		return api.Refuse(http.StatusNotFound, "no such job")
+	}
+	return n.inLoop(ctx, func(send func(*peer.Reply)) { n.cancel(model.JobID(num), send) })
+}
+
+func (n *Node) cancel(id model.JobID, send func(*peer.Reply)) {
+	if !n.active() {
+		send(noLeader)
+		return
+	}
+	j := n.m.Jobs[id]
+	var seq uint64
+	switch {
+	case j == nil && n.m.Finals[id] == 0:
+		send(api.Refuse(http.StatusNotFound, "no such job"))
+		return
+	case j == nil:
+		seq = n.m.FinalAt(id)
+	case j.Cancelled:
+		seq = j.FinalSeq
+	default:
+		var on []*model.Machine
+		for i := range j.Tasks {
+			if r := j.Tasks[i].Run; r != nil {
+				on = append(on, r.Machine)
+			}
+		}
+		seq = n.propose(&model.Entry{Kind: model.EntryCancel, Job: id})
+		n.whenCommitted(seq, func(ok bool) {
+			for _, mc := range on {
+				if ok {
+					n.touch(mc)
+				}
+			}
+		})
+		n.log.Debug("job cancelled", "job", wire.JobID(uint64(id)))
+	}
+	n.whenCommitted(seq, func(ok bool) {
+		s := n.status(id)
+		if !ok || s == nil {
+			send(noLeader)
+			return
+		}
+		send(api.Encode(http.StatusOK, s))
+	})
+}
+
+// Ready tells whether the node can take requests.
+func (n *Node) Ready() bool { return n.readyFlag.Load() }
+
+// linkFresh is how recent an answer must be for the leader to count as reached.
+const linkFresh = 3 * time.Second
+
+// judgeReady decides what the load balancer is told. A short time without a
+// leader is no reason to be passed over: it passes for all nodes alike, and
+// requests are refused with a time to come back.
+func (n *Node) judgeReady() {
+	ready := n.loaded
+	if ready && n.role == nil && n.leader != nil {
+		if l := n.links[n.leader.Node]; l != nil && time.Since(l.Heard()) > linkFresh {
+			ready = false
+		}
+	}
+	n.readyFlag.Store(ready)
+}
--- /dev/null
+++ b/internal/controller/workers.go
@@ -0,0 +1,253 @@
+package controller
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"fieldhill/internal/api"
+	"fieldhill/internal/config"
+	"fieldhill/internal/model"
+	"fieldhill/internal/peer"
+	"fieldhill/internal/worker"
+	"fieldhill/wire"
+)
+
+// Report takes a worker's report.
+func (n *Node) Report(ctx context.Context, r *wire.Report) *peer.Reply {
+	return n.inLoop(ctx, func(send func(*peer.Reply)) { send(n.report(r)) })
+}
+
+func (n *Node) report(r *wire.Report) *peer.Reply {
+	if n.role != nil {
+		return n.reportToLeader(r)
+	}
+	return n.reportToOther(r)
+}
+
+func (n *Node) reportToLeader(r *wire.Report) *peer.Reply {
+	if r.Token >= n.m.TermBase+1<<termBits {
+		// The worker obeys a later term than this node's.
+		return api.Encode(http.StatusMisdirectedRequest, &wire.Redirect{})
+	}
+	if !n.active() && time.Since(n.caught) > n.set.KeepBound() {
+		// Nobody may keep leases alive for longer than a cancellation that this
+		// node can't know of leaves.
+		return api.Later("no leader at the moment", 1)
+	}
+	if n.m.Tombs[r.Machine] {
+		return api.Later("this machine was returned", 1)
+	}
+	mc := n.m.ByName[r.Machine]
+	if mc == nil {
+		if !n.active() {
+			return n.keepAlive(r)
+		}
+		n.log.Info("machine reports", "machine", r.Machine, "type", r.Type, "zone", r.Zone, "spot", r.Spot)
+		n.propose(&model.Entry{Kind: model.EntryMachine, Machine: n.m.NextMachine, At: time.Now().UnixMilli(),
+			Info: &model.MachineInfo{Name: r.Machine, Addr: r.Addr, Type: r.Type, Zone: r.Zone, Spot: r.Spot}})
+		mc = n.m.ByName[r.Machine]
+	}
+	first := !mc.Reported
+	if n.observe(mc, r, false) {
+		return api.Encode(http.StatusOK, &wire.ReportAnswer{Token: n.m.Token(mc), Commands: []wire.Command{}})
+	}
+	if first {
+		n.dirty = true
+	}
+	cmds := n.m.Commands(mc, n.role.committed, true)
+	return api.Encode(http.StatusOK, &wire.ReportAnswer{Token: n.m.Token(mc), Commands: cmds})
+}
+
+// observe takes in a report and logs what it proves. It tells whether the
+// report was out of date.
+func (n *Node) observe(mc *model.Machine, r *wire.Report, answer bool) (stale bool) {
+	mc.Info.Addr = r.Addr
+	bad := mc.Bad
+	v := n.m.Observe(mc, r, answer, n.now())
+	if v.Stale {
+		return true
+	}
+	for _, e := range v.Entries {
+		n.propose(e)
+		n.dirty = true
+	}
+	n.m.SealDead(mc, n.role.seq())
+	if mc.Bad && !bad {
+		n.log.Info("machine distrusted: tasks of several jobs failed on it", "machine", mc.Info.Name, "failures", mc.Failures)
+	}
+	if len(v.Entries) > 0 {
+		n.touch(mc) // the worker is told to forget what is logged
+	}
+	return false
+}
+
+// reportToOther answers a worker when another node leads, or none.
+func (n *Node) reportToOther(r *wire.Report) *peer.Reply {
+	now := time.Now()
+	if !n.loaded {
+		return api.Encode(http.StatusMisdirectedRequest, &wire.Redirect{})
+	}
+	if n.leader != nil && n.leader.Node != n.set.Node {
+		l := n.links[n.leader.Node]
+		reached := l != nil && now.Sub(l.Heard()) < linkFresh
+		sent, was := n.redirects[r.Machine]
+		back := was && now.Sub(sent) < 20*time.Second
+		if reached || !back {
+			// A worker that comes back soon after being sent to a leader that
+			// this node can't reach either is cut off with it.
+			if !reached {
+				n.redirects[r.Machine] = now
+			}
+			return api.Encode(http.StatusMisdirectedRequest, &wire.Redirect{Node: n.leader.Node})
+		}
+	}
+	return n.keepAlive(r)
+}
+
+// keepAlive renews a worker's lease under the worker's own token while no leader
+// can. Nothing is started. Tasks of jobs that the log shows as cancelled are
+// stopped, and what this node can't know of any more is why it ends after a
+// bound: a job cancelled after the log was last read here still loses its tasks
+// in time when the leases then run out.
+func (n *Node) keepAlive(r *wire.Report) *peer.Reply {
+	if time.Since(n.caught) > n.set.KeepBound() {
+		return api.Later("no leader at the moment", 1)
+	}
+	cmds := []wire.Command{}
+	for _, t := range r.Tasks {
+		num, _, ok := wire.ParseTaskID(t.Task)
+		if !ok || t.State == wire.TaskExited || len(cmds) >= 300 {
+			continue
+		}
+		id := model.JobID(num)
+		j := n.m.Jobs[id]
+		if n.m.Finals[id] == model.FinalCancelled || j != nil && j.Cancelled && (n.role == nil || j.FinalSeq <= n.role.committed) {
+			cmds = append(cmds, wire.Command{Verb: wire.Stop, Task: t.Task, Attempt: t.Attempt, GraceS: new(float64)})
+		}
+	}
+	return api.Encode(http.StatusOK, &wire.ReportAnswer{Token: r.Token, Commands: cmds})
+}
+
+// touch marks a machine as having something to be told.
+func (n *Node) touch(mc *model.Machine) {
+	if r := n.role; r != nil {
+		r.touched[mc] = true
+	}
+}
+
+// direct gives a machine its commands at once instead of with its next report.
+func (n *Node) direct(mc *model.Machine) {
+	r := n.role
+	if r == nil || mc.Sending {
+		return
+	}
+	if n.m.Machines[mc.ID] != mc || mc.NoDirect || !mc.Reported || mc.Info.Addr == "" || mc.Releasing {
+		delete(r.touched, mc)
+		return
+	}
+	cmds := n.m.Commands(mc, r.committed, false)
+	if !n.waitsForLog(mc) {
+		delete(r.touched, mc)
+	}
+	if len(cmds) == 0 {
+		return
+	}
+	token := n.m.Token(mc)
+	n.m.Sent(mc, cmds, token)
+	mc.Sending = true
+	o := &wire.Orders{Token: token, Session: mc.Session, Commands: cmds}
+	addr := mc.Info.Addr
+	go func() {
+		fate, rep, err := n.worker.Orders(r.ctx, addr, o)
+		n.post(func() {
+			if n.role != r {
+				return
+			}
+			mc.Sending = false
+			if n.m.Machines[mc.ID] != mc {
+				return
+			}
+			switch fate {
+			case worker.Unknown:
+				n.log.Debug("command without an answer", "machine", mc.Info.Name, "err", err)
+				n.m.Lost(mc, cmds, token)
+			case worker.Unsent:
+				n.m.Answered(mc, cmds, token, false)
+				mc.NoDirect = true
+			case worker.Refused:
+				n.m.Answered(mc, cmds, token, false)
+			case worker.Executed:
+				n.m.Answered(mc, cmds, token, true)
+			}
+			if rep != nil && rep.Machine == mc.Info.Name {
+				n.observe(mc, rep, true)
+			}
+			if r.touched[mc] {
+				n.direct(mc)
+			}
+		})
+	}()
+}
+
+// waitsForLog tells whether a machine has a placement that is not committed yet.
+func (n *Node) waitsForLog(mc *model.Machine) bool {
+	for _, run := range mc.Runs {
+		if run.Seq > n.role.committed || run.Job.FinalSeq > n.role.committed {
+			return true
+		}
+	}
+	return n.m.DeadWaits(mc, n.role.committed)
+}
+
+// Place logs and applies a placement (sched.Doer).
+func (n *Node) Place(j *model.Job, task int32, attempt uint32, mc *model.Machine) {
+	n.log.Debug("placed", "job", j.Spec.ID, "task", task, "attempt", attempt, "machine", mc.Info.Name)
+	n.propose(&model.Entry{Kind: model.EntryPlace, Job: j.ID, Task: task, Attempt: attempt, Machine: mc.ID, Session: mc.Session})
+	n.touch(mc)
+}
+
+// Stop marks a run to be stopped (sched.Doer). It needs no log: a stop that is
+// lost with its leader is decided again.
+func (n *Node) Stop(r *model.Run, hard bool, why string) {
+	if r.Stop {
+		return
+	}
+	n.log.Info("stopping a task", "task", wire.TaskID(uint64(r.Job.ID), int(r.Task)), "machine", r.Machine.Info.Name, "why", why)
+	r.Stop, r.Hard, r.StopAt = true, hard, n.now()
+	n.touch(r.Machine)
+	if !r.Machine.Sending {
+		n.direct(r.Machine)
+	}
+}
+
+// round runs the scheduler.
+func (n *Node) round(tick bool) {
+	r := n.role
+	n.dirty = false
+	if r == nil || !n.active() || r.stalled() {
+		return
+	}
+	n.lastRound = time.Now()
+	if n.lastRound.Before(r.placeFrom) && !n.allReported() {
+		return
+	}
+	n.sched.Round(n.m, n.now(), tick, n)
+}
+
+// allReported tells whether every machine that is up has reported to this leader.
+func (n *Node) allReported() bool {
+	for _, mc := range n.m.Order {
+		if !mc.Reported && len(mc.Runs) > 0 {
+			return false
+		}
+	}
+	return len(n.m.Order) > 0
+}
+
+// silentAfter is how long a machine may say nothing before it is given up: the
+// longest pause between reports, a report whose answer was lost, and a try at
+// another node.
+func (n *Node) silentAfter() time.Duration {
+	return config.Seconds(n.set.Params.Workers.ReportS*1.25 + 4 + 2)
+}
--- /dev/null
+++ b/internal/fleet/fleet.go
@@ -0,0 +1,508 @@
+// Package fleet decides which machines to rent and which to return. It is pure:
+// it reads the model, keeps what it has learnt of demand and capacity, and
+// returns what to ask of the cloud.
+//
+// The size follows demand: waiting work is packed onto the room there is, with
+// machines that are booting counted in full; what is left over asks for new
+// machines, the cheapest per task first. Services that must start sooner than a
+// machine boots get headroom for the arrivals of that time, and gangs that can't
+// wait for a boot find machines kept for the usual number of them.
+package fleet
+
+import (
+	"fmt"
+	"math"
+	"sort"
+
+	"fieldhill/internal/config"
+	"fieldhill/internal/model"
+	"fieldhill/internal/sched"
+)
+
+// Offer is something that can be rented.
+type Offer struct {
+	Type, Zone int32
+	Spot       bool
+}
+
+// Hire is a wish.
+type Hire struct {
+	Offer
+	Count int
+}
+
+// Plan is what to ask of the cloud, and the headroom that low work must leave.
+type Plan struct {
+	Hires    []Hire
+	Returns  []*model.Machine
+	Headroom float64
+}
+
+type refusal struct {
+	until model.Time
+	pause model.Time
+}
+
+// class is what was learnt of a class of jobs.
+type class struct {
+	kind     model.Kind
+	need     sched.Room
+	arrivals float64 // tasks a second, averaged
+	tasks    float64 // tasks of a job, averaged
+	busy     float64 // seconds that a task keeps its place, averaged
+	types    []int32
+	zone     int32
+	spot     bool
+	imageGB  float64
+	seen     int
+	burst    float64 // largest job
+	lastSeen model.Time
+	window   float64
+}
+
+// Fleet keeps what lasts.
+type Fleet struct {
+	Objectives []config.Objective
+	Pending    map[Offer]int // asked for, without an answer yet
+	refused    map[Offer]refusal
+	classes    map[int32]*class
+	seen       map[model.JobID]bool
+	began      model.Time
+	started    bool
+	lastDecay  model.Time
+}
+
+// New makes a fleet.
+func New(obj []config.Objective) *Fleet {
+	return &Fleet{Objectives: obj, refused: map[Offer]refusal{}, classes: map[int32]*class{}, seen: map[model.JobID]bool{}}
+}
+
+// Refused notes that the cloud had nothing of an offer; it is asked again after
+// pauses that grow.
+func (f *Fleet) Refused(o Offer, now model.Time) {
+	r := f.refused[o]
+	r.pause = min(max(2*r.pause, 8e9), 60e9)
+	r.until = now + r.pause
+	f.refused[o] = r
+}
+
+// Filled notes that the cloud had some.
+func (f *Fleet) Filled(o Offer) { delete(f.refused, o) }
+
+// within is the tightest time that the objectives give a class to start.
+func (f *Fleet) within(m *model.Model, c int32) (float64, bool) {
+	best, ok := math.Inf(1), false
+	for _, o := range f.Objectives {
+		if o.Kind == "wait" && o.Class == m.Classes.Name(c) && o.WithinS < best {
+			best, ok = o.WithinS, true
+		}
+	}
+	return best, ok
+}
+
+// finishIn is how long a job of a class may take in all by the objectives.
+func (f *Fleet) finishIn(m *model.Model, j *model.Job) float64 {
+	best := math.Inf(1)
+	for _, o := range f.Objectives {
+		if o.Class != j.Spec.Class {
+			continue
+		}
+		switch {
+		case o.Kind == "finished":
+			best = min(best, o.WithinS)
+		case o.Kind == "deadline" && j.Spec.DeadlineS != nil:
+			best = min(best, *j.Spec.DeadlineS)
+		}
+	}
+	if math.IsInf(best, 1) {
+		if j.Spec.DeadlineS != nil {
+			return *j.Spec.DeadlineS
+		}
+		return 300
+	}
+	return best
+}
+
+const memory = 240.0 // seconds over which arrivals are averaged
+
+// learn watches the jobs that come.
+func (f *Fleet) learn(m *model.Model, jobs []*model.Job, now model.Time) {
+	if !f.started {
+		f.started, f.began, f.lastDecay = true, now, now
+		// What is there at the start says nothing of how often jobs come.
+		for _, j := range jobs {
+			f.seen[j.ID] = true
+			f.note(j, now, false)
+		}
+		return
+	}
+	decay := math.Exp(-(now - f.lastDecay).Seconds() / memory)
+	f.lastDecay = now
+	for _, c := range f.classes {
+		c.window *= decay
+	}
+	for _, j := range jobs {
+		if !f.seen[j.ID] {
+			f.seen[j.ID] = true
+			f.note(j, now, true)
+		}
+	}
+	if len(f.seen) > 4*len(m.Jobs)+1000 {
+		for id := range f.seen {
+			if m.Jobs[id] == nil {
+				delete(f.seen, id)
+			}
+		}
+	}
+}
+
+func (f *Fleet) note(j *model.Job, now model.Time, arrived bool) {
+	c := f.classes[j.Class]
+	if c == nil {
+		c = &class{tasks: float64(len(j.Tasks)), busy: j.Spec.EstimateS}
+		f.classes[j.Class] = c
+	}
+	c.kind, c.need, c.types, c.zone, c.spot = j.Kind, sched.Need(j), j.Types, j.Zone, j.Spec.Spot
+	c.imageGB = max(j.Spec.ImageGB, 0.8*c.imageGB)
+	c.seen++
+	c.tasks += (float64(len(j.Tasks)) - c.tasks) * 0.1
+	c.busy += (j.Spec.EstimateS - c.busy) * 0.1
+	c.burst = max(c.burst*0.98, float64(len(j.Tasks)))
+	c.lastSeen = now
+	if arrived {
+		c.window += float64(len(j.Tasks))
+	}
+}
+
+// rate is how many tasks of a class come in a second.
+func (f *Fleet) rate(c *class, now model.Time) float64 {
+	t := (now - f.began).Seconds()
+	span := memory * (1 - math.Exp(-t/memory))
+	return c.window / max(span, 30)
+}
+
+// slot is room on a machine that exists, boots or is wished for.
+type slot struct {
+	mc    *model.Machine
+	offer Offer
+	free  sched.Room
+	total sched.Room
+	used  bool
+	wish  bool
+}
+
+type item struct {
+	need    sched.Room
+	types   []int32
+	zone    int32
+	spot    bool
+	count   int
+	job     *model.Job
+	standby bool // room to keep free, not work
+}
+
+func (it *item) allows(o Offer) bool {
+	if o.Spot && !it.spot || it.zone >= 0 && it.zone != o.Zone {
+		return false
+	}
+	if it.types == nil {
+		return true
+	}
+	for _, t := range it.types {
+		if t == o.Type {
+			return true
+		}
+	}
+	return false
+}
+
+// Plan looks at demand and machines.
+func (f *Fleet) Plan(m *model.Model, now model.Time) Plan {
+	jobs := m.JobsInOrder()
+	sched.Guarantees(jobs)
+	f.learn(m, jobs, now)
+	slots := f.slots(m)
+	items, headroom := f.items(m, jobs, now)
+	for i := range items {
+		f.pack(m, &items[i], &slots, now)
+	}
+	p := Plan{Headroom: headroom}
+	count := map[Offer]int{}
+	for _, s := range slots {
+		if s.wish {
+			count[s.offer]++
+		}
+	}
+	for o, n := range count {
+		p.Hires = append(p.Hires, Hire{o, n})
+	}
+	sort.Slice(p.Hires, func(i, k int) bool {
+		a, b := p.Hires[i].Offer, p.Hires[k].Offer
+		if a.Type != b.Type {
+			return a.Type < b.Type
+		}
+		return a.Zone < b.Zone || a.Zone == b.Zone && !a.Spot && b.Spot
+	})
+	for _, s := range slots {
+		if s.mc != nil && !s.used && f.returnable(m, s.mc, now) {
+			p.Returns = append(p.Returns, s.mc)
+		}
+	}
+	return p
+}
+
+// returnable tells whether an unneeded machine has been idle for long enough: it
+// takes a boot to get one back.
+func (f *Fleet) returnable(m *model.Model, mc *model.Machine, now model.Time) bool {
+	if len(mc.Runs) > 0 || mc.Releasing {
+		return false
+	}
+	t := m.TypeOf(mc)
+	keep := config.Seconds(max(15, t.BootS*0.6))
+	return mc.Reported && now-max(mc.IdleSince, mc.KnownSince) > keep
+}
+
+func (f *Fleet) slots(m *model.Model) []*slot {
+	var out []*slot
+	for _, mc := range m.Order {
+		t := m.TypeOf(mc)
+		if !t.Known || mc.Draining || mc.Bad || mc.Releasing || mc.Notice != 0 {
+			continue
+		}
+		total := sched.Total(m, mc)
+		s := &slot{mc: mc, offer: Offer{mc.Type, mc.Zone, mc.Spot}, total: total,
+			free: sched.Room{CPUs: total.CPUs - mc.CPUs, GPUs: total.GPUs - mc.GPUs, Mem: total.Mem - mc.Mem}}
+		s.used = len(mc.Runs) > 0
+		out = append(out, s)
+	}
+	for o, n := range f.Pending {
+		t := &m.Types[o.Type]
+		total := sched.Room{CPUs: t.CPUs, GPUs: t.GPUs, Mem: t.MemoryGB}
+		for range n {
+			out = append(out, &slot{offer: o, total: total, free: total})
+		}
+	}
+	// Fuller machines first, so that empty ones stay unused and can go.
+	sort.SliceStable(out, func(i, k int) bool { return out[i].used && !out[k].used })
+	return out
+}
+
+// items lists what wants room, most urgent first.
+func (f *Fleet) items(m *model.Model, jobs []*model.Job, now model.Time) ([]item, float64) {
+	var urgent, standby, low []item
+	for _, j := range jobs {
+		n := j.Waiting()
+		if n == 0 || j.Team == nil {
+			continue
+		}
+		n = min(n, teamRoom(j))
+		it := item{need: sched.Need(j), types: j.Types, zone: j.Zone, spot: j.Spec.Spot, count: n, job: j}
+		if j.Kind != model.Array {
+			urgent = append(urgent, it)
+			continue
+		}
+		it.count = min(n, f.parallel(m, j, now))
+		if j.Priority > model.Low || j.Guaranteed {
+			urgent = append(urgent, it)
+		} else {
+			low = append(low, it)
+		}
+	}
+	headroom := 0.0
+	ids := make([]int32, 0, len(f.classes))
+	for id := range f.classes {
+		ids = append(ids, id)
+	}
+	sort.Slice(ids, func(i, k int) bool { return ids[i] < ids[k] })
+	for _, id := range ids {
+		c := f.classes[id]
+		within, ok := f.within(m, id)
+		if !ok {
+			continue
+		}
+		boot, fetch := f.coldStart(m, c)
+		if boot+fetch < within*0.5 {
+			continue // a machine can be had in time
+		}
+		r := f.rate(c, now)
+		var n float64
+		switch c.kind {
+		case model.Service:
+			mean := r * (boot*1.5 + 10)
+			n = mean + 2*math.Sqrt(mean*max(1, c.tasks)) + c.burst
+			headroom += n * c.need.CPUs
+		case model.Gang:
+			// The usual number at once, by Little's law, less those that run.
+			usual := r * (c.busy*1.2 + fetch)
+			n = math.Round(usual+0.7*math.Sqrt(usual)) - float64(liveOf(jobs, id))
+			n = min(n, math.Ceil(r*boot*1.5+0.5))
+		default:
+			continue
+		}
+		if k := int(math.Ceil(n)); k > 0 {
+			standby = append(standby, item{need: c.need, types: c.types, zone: c.zone, spot: c.spot && c.kind != model.Service, count: k, standby: true})
+		}
+	}
+	return append(append(urgent, standby...), low...), headroom
+}
+
+func liveOf(jobs []*model.Job, class int32) int {
+	n := 0
+	for _, j := range jobs {
+		if j.Class == class && !j.Cancelled {
+			n += len(j.Tasks) - j.Done
+		}
+	}
+	return n
+}
+
+// coldStart is how long it takes from renting the best machine for a class to
+// having an image there.
+func (f *Fleet) coldStart(m *model.Model, c *class) (boot, fetch float64) {
+	boot = math.Inf(1)
+	for i := range m.Types {
+		t := &m.Types[i]
+		it := item{types: c.types, zone: -1}
+		if !t.Known || !(sched.Room{CPUs: t.CPUs, GPUs: t.GPUs, Mem: t.MemoryGB}).Holds(c.need) || !it.allows(Offer{Type: int32(i)}) {
+			continue
+		}
+		if t.BootS < boot {
+			boot = t.BootS
+			fetch = c.imageGB / max(t.FetchGBPerS, 0.01)
+		}
+	}
+	if math.IsInf(boot, 1) {
+		return 0, 0
+	}
+	return boot, fetch
+}
+
+func teamRoom(j *model.Job) int {
+	t, n := j.Team, math.Inf(1)
+	if t.CPUsMax > 0 && j.Spec.CPUs > 0 {
+		n = min(n, (t.CPUsMax-t.UsedCPUs)/j.Spec.CPUs+1e-6)
+	}
+	if t.GPUsMax > 0 && j.Spec.GPUs > 0 {
+		n = min(n, (t.GPUsMax-t.UsedGPUs)/j.Spec.GPUs+1e-6)
+	}
+	if n > 1e6 {
+		return 1e6
+	}
+	return max(0, int(n))
+}
+
+// parallel is how many tasks of an array must run at once for it to be done
+// within half of what its objective leaves.
+func (f *Fleet) parallel(m *model.Model, j *model.Job, now model.Time) int {
+	est := max(5, j.Spec.EstimateS) + 8
+	left := f.finishIn(m, j)*0.6 - (now - j.Began).Seconds()
+	rounds := math.Floor(left / est)
+	if rounds < 1 {
+		return j.Waiting()
+	}
+	return max(0, int(math.Ceil(float64(j.Waiting()+j.Live)/rounds))-j.Live)
+}
+
+// pack puts an item's tasks onto slots, wishing for machines where room ends.
+func (f *Fleet) pack(m *model.Model, it *item, slots *[]*slot, now model.Time) {
+	left := it.count
+	for pass := 0; pass < 2 && left > 0; pass++ {
+		for _, s := range *slots {
+			// Work without GPUs is not to keep machines with GPUs.
+			if (pass == 0) != (it.need.GPUs > 0 || s.total.GPUs == 0) || !it.allows(s.offer) {
+				continue
+			}
+			if pass == 1 && !s.used {
+				continue
+			}
+			for left > 0 && s.free.Holds(it.need) {
+				s.free = s.free.Minus(it.need)
+				s.used = true
+				left--
+			}
+		}
+	}
+	for left > 0 {
+		o, ok := f.cheapest(m, it, left, now)
+		if !ok {
+			return
+		}
+		t := &m.Types[o.Type]
+		total := sched.Room{CPUs: t.CPUs, GPUs: t.GPUs, Mem: t.MemoryGB}
+		s := &slot{offer: o, total: total, free: total, used: true, wish: true}
+		for left > 0 && s.free.Holds(it.need) {
+			s.free = s.free.Minus(it.need)
+			left--
+		}
+		*slots = append(*slots, s)
+		if wishes(*slots) >= 60 {
+			return
+		}
+	}
+}
+
+func wishes(slots []*slot) int {
+	n := 0
+	for _, s := range slots {
+		if s.wish {
+			n++
+		}
+	}
+	return n
+}
+
+// cheapest finds the offer that costs least for what is left of an item.
+func (f *Fleet) cheapest(m *model.Model, it *item, left int, now model.Time) (Offer, bool) {
+	var best Offer
+	bestCost, found := math.Inf(1), false
+	for i := range m.Types {
+		t := &m.Types[i]
+		if !t.Known {
+			continue
+		}
+		total := sched.Room{CPUs: t.CPUs, GPUs: t.GPUs, Mem: t.MemoryGB}
+		fit := 0
+		for r := total; fit < left && r.Holds(it.need); fit++ {
+			r = r.Minus(it.need)
+		}
+		if fit == 0 {
+			continue
+		}
+		for _, z := range t.ZoneIDs {
+			if it.job != nil && !it.job.ZoneAllows(z) {
+				continue
+			}
+			for _, spot := range []bool{false, true} {
+				o := Offer{int32(i), z, spot}
+				if !it.allows(o) || f.refused[o].until > now {
+					continue
+				}
+				price := t.Price
+				if spot {
+					price = t.SpotPrice * 1.3 // some are taken, and their work with them
+				}
+				cost := price / float64(fit) * (1 + t.BootS/300)
+				cost *= 1 + 0.02*float64(count(m, o))
+				if cost < bestCost {
+					best, bestCost, found = o, cost, true
+				}
+			}
+		}
+	}
+	return best, found
+}
+
+// count is how many of an offer there are, so that equal offers take turns.
+func count(m *model.Model, o Offer) int {
+	n := 0
+	for _, mc := range m.Order {
+		if mc.Type == o.Type && mc.Zone == o.Zone && mc.Spot == o.Spot {
+			n++
+		}
+	}
+	return n
+}
+
+// Name makes a rental request's name that no other node, term or restart uses:
+// terms are never used twice.
+func Name(term uint64, n int) string { return fmt.Sprintf("fh-%d-%d", term, n) }
--- /dev/null
+++ b/internal/lead/lead.go
@@ -0,0 +1,114 @@
+// Package lead elects one leader by a lease in the state service.
+//
+// The leader key is attached to the lease, so it disappears when the lease ends;
+// who creates it leads. The lease can't end earlier than its time after the last
+// renewal reached the service, which is not before the renewal was sent; so a
+// leader may trust its own steady clock until that long after sending, less the
+// drift of two clocks, and needs nobody's word.
+package lead
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"time"
+
+	"fieldhill/internal/mphttp"
+	"fieldhill/internal/oplog"
+	"fieldhill/internal/statesvc"
+	"fieldhill/wire"
+)
+
+const (
+	// TTL is the lease's time. A takeover waits for its end, so it is short;
+	// several renewals fit in, so that a slow answer does not cost the lead.
+	TTL   = 3000 * time.Millisecond
+	every = 600 * time.Millisecond
+)
+
+// Trust is how long after sending a renewal the lease surely lasts.
+const Trust = TTL - TTL/500 - 20*time.Millisecond
+
+// ErrTaken says that another node leads.
+var ErrTaken = errors.New("lead: another node leads")
+
+// Won is a leadership.
+type Won struct {
+	oplog.Leader
+	Until time.Time // trusted until here without a further renewal
+}
+
+// Acquire tries to become the leader, once.
+func Acquire(ctx context.Context, svc *statesvc.Client, node string, logger *slog.Logger) (*Won, error) {
+	var term, termVer uint64
+	it, err := svc.Get(ctx, oplog.KeyTerm)
+	switch {
+	case err == nil:
+		var v wire.LogValue
+		if err := wire.Unmarshal(it.Value, &v); err != nil {
+			return nil, err
+		}
+		term, termVer = v.Term, it.Version
+	case mphttp.Code(err) != 404:
+		return nil, err
+	}
+	sent := time.Now()
+	lease, err := svc.Grant(ctx, TTL)
+	if err != nil {
+		return nil, err
+	}
+	term++
+	txn := &wire.Txn{
+		If: []wire.Guard{{Key: oplog.KeyLeader}, {Key: oplog.KeyTerm, Version: termVer}},
+		Then: []wire.Write{
+			{Put: oplog.KeyTerm, Value: &wire.LogValue{Version: 1, Term: term}},
+			{Put: oplog.KeyLeader, Lease: lease, Value: &wire.LogValue{Version: 1, Term: term, Node: node, Lease: lease}},
+		},
+	}
+	won := &Won{Leader: oplog.Leader{Node: node, Term: term, Lease: lease}, Until: sent.Add(Trust)}
+	ans, err := svc.Txn(ctx, txn)
+	if err == nil {
+		won.Version = ans.Revision
+		return won, nil
+	}
+	if code := mphttp.Code(err); code == 409 || code == 400 || code == 429 {
+		_ = svc.Revoke(ctx, lease) // a courtesy: it ends by itself anyway
+		return nil, ErrTaken
+	}
+	// No answer, or one that says nothing: the transaction may have been
+	// applied, or may be later. The key says so; if it is not there, ending the
+	// lease makes sure that a late copy is refused.
+	logger.Debug("election without a result", "err", err)
+	it, gerr := svc.Get(ctx, oplog.KeyLeader)
+	if gerr == nil {
+		var v wire.LogValue
+		if wire.Unmarshal(it.Value, &v) == nil && v.Lease == lease && v.Node == node {
+			won.Version = it.Version
+			return won, nil
+		}
+	}
+	_ = svc.Revoke(ctx, lease)
+	return nil, err
+}
+
+// Keep renews the lease until the context ends or the lease is over, calling
+// renewed with the time until which the lead may be trusted.
+func Keep(ctx context.Context, svc *statesvc.Client, won *Won, renewed func(until time.Time)) error {
+	tick := time.NewTicker(every)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-tick.C:
+		}
+		sent := time.Now()
+		err := svc.Renew(ctx, won.Lease, 1500*time.Millisecond)
+		switch code := mphttp.Code(err); {
+		case err == nil:
+			renewed(sent.Add(Trust))
+		case code == 404:
+			return oplog.ErrDeposed
+		}
+	}
+}
--- /dev/null
+++ b/internal/model/model.go
@@ -0,0 +1,767 @@
+// Package model owns what the service believes: jobs, tasks, machines, teams,
+// and what is evidence for a change. It is pure: entries, reports and the time
+// go in, entries to log and commands to give come out.
+//
+// The replicated part (jobs, placements, machines, final states) changes only
+// through Apply, with the log's entries in the log's order, so every node that
+// read the same log believes the same. Observations (sessions, phases, caches)
+// belong to the node that leads and are gathered anew by each leader.
+//
+// Invariants:
+//   - a task has at most one Run, from the entry that placed it until evidence
+//     that it is gone (rule: ran_twice);
+//   - a Run counts against its team, zone and machine as long as it exists,
+//     whatever its job has become (rules: quota, wrong_place).
+package model
+
+import (
+	"fmt"
+	"math"
+	"time"
+
+	"fieldhill/internal/config"
+	"fieldhill/internal/intern"
+	"fieldhill/wire"
+)
+
+// Time is steady time since the process began.
+type Time = time.Duration
+
+// JobID is a job's number.
+type JobID uint64
+
+// MachineID numbers machines in the order in which the log names them.
+type MachineID uint32
+
+// Kind is a job's shape.
+type Kind uint8
+
+// The shapes.
+const (
+	Array Kind = iota
+	Gang
+	Service
+)
+
+// Priority orders jobs; higher is more urgent.
+type Priority uint8
+
+// The priorities.
+const (
+	Low Priority = iota
+	Normal
+	High
+	Production
+)
+
+// TaskState is the replicated state of a task.
+type TaskState uint8
+
+// The states of a task.
+const (
+	Waiting TaskState = iota
+	Placed
+	Done
+)
+
+// Phase is what the machine last said of a run.
+type Phase uint8
+
+// The phases.
+const (
+	Unseen Phase = iota // placed; its machine has not spoken of it yet
+	Fetching
+	Gathering
+	Running
+	Saving
+)
+
+// Final is how a job ended.
+type Final uint8
+
+// The final states.
+const (
+	FinalDone Final = iota + 1
+	FinalCancelled
+)
+
+const eps = 1e-6
+
+// Task is one task of a job.
+type Task struct {
+	State   TaskState
+	Attempt uint32 // the latest attempt
+	Run     *Run
+}
+
+// Job is an accepted job that is not over, or has tasks that are not gone.
+type Job struct {
+	ID        JobID
+	Spec      *wire.JobSpec
+	Kind      Kind
+	Priority  Priority
+	Team      *Team
+	Class     int32
+	Image     int32
+	Zone      int32   // -1: any
+	Types     []int32 // nil: any
+	Tasks     []Task
+	Done      int
+	Live      int // tasks with a Run
+	Running   int // runs seen running or saving
+	Cancelled bool
+	Order     uint64 // order of acceptance
+	At        int64  // time of day of acceptance, ms
+	AcceptSeq uint64
+	FinalSeq  uint64
+	retry     []int32
+	next      int32
+
+	// What the leader keeps for scheduling.
+	Waited     int // rounds spent waiting for a busy machine with the image
+	NotBefore  Time
+	Errors     int
+	AvoidedOn  map[MachineID]bool // machines where a task of it failed
+	Guaranteed bool
+	Began      Time // when this node learnt of it
+}
+
+// Waiting counts the tasks that want a place.
+func (j *Job) Waiting() int {
+	if j.Cancelled {
+		return 0
+	}
+	return len(j.Tasks) - j.Done - j.Live
+}
+
+// NextWaiting finds a task that wants a place, or -1.
+func (j *Job) NextWaiting() int32 {
+	if j.Waiting() == 0 {
+		return -1
+	}
+	for n := len(j.retry); n > 0; n-- {
+		t := j.retry[n-1]
+		if j.Tasks[t].State == Waiting {
+			return t
+		}
+		j.retry = j.retry[:n-1]
+	}
+	for ; int(j.next) < len(j.Tasks); j.next++ {
+		if j.Tasks[j.next].State == Waiting {
+			return j.next
+		}
+	}
+	return -1
+}
+
+// ZoneCount counts the tasks that are placed in a zone, and in any other.
+func (j *Job) ZoneCount(zone int32) (in, out int) {
+	if j.Live == 0 {
+		return 0, 0
+	}
+	for i := range j.Tasks {
+		if r := j.Tasks[i].Run; r != nil {
+			if r.Machine.Zone == zone {
+				in++
+			} else {
+				out++
+			}
+		}
+	}
+	return in, out
+}
+
+// Run is an attempt of a task that is placed and not evidently gone.
+type Run struct {
+	Job       *Job
+	Task      int32
+	Attempt   uint32
+	Machine   *Machine
+	Session   uint64
+	Seq       uint64 // the log's sequence number of its placement
+	Phase     Phase
+	PlacedAt  Time
+	StartedAt Time // when it was first seen running
+	Stop      bool // it is to be stopped
+	Hard      bool // without saving
+	StopAt    Time
+	Inherited bool   // placed by an earlier leader, whose commands may be under way
+	answerSeq uint64 // the report whose answer carried its start; 0: none under way
+	seen      uint64
+}
+
+// Wanted tells whether the run should go on.
+func (r *Run) Wanted() bool { return !r.Stop && !r.Job.Cancelled }
+
+type runKey struct {
+	job     JobID
+	task    int32
+	attempt uint32
+}
+
+func (r *Run) key() runKey { return runKey{r.Job.ID, r.Task, r.Attempt} }
+
+// Team is an owner of jobs.
+type Team struct {
+	config.Team
+	UsedCPUs, UsedGPUs float64
+}
+
+// Type is a machine type.
+type Type struct {
+	wire.MachineType
+	ZoneIDs []int32
+	Known   bool
+}
+
+type cached struct {
+	image int32
+	gb    float64
+	used  Time
+}
+
+// Machine is a rented machine that is not evidently gone.
+type Machine struct {
+	ID      MachineID
+	Info    MachineInfo
+	Type    int32
+	Zone    int32
+	Spot    bool
+	At      int64 // time of day when the log first named it, ms
+	Runs    []*Run
+	CPUs    float64 // in use
+	GPUs    float64
+	Mem     float64
+	cache   []cached
+	SeenSeq uint64 // log sequence number of its entry
+
+	// What the leader observes.
+	Session    uint64
+	ReportSeq  uint64
+	SeenToken  uint64 // highest token that the worker has reported
+	Bump       uint64
+	Reported   bool // it has reported to this leader
+	LastReport Time
+	KnownSince Time
+	Notice     Time // when the cloud takes it; 0: no notice
+	Draining   bool // gets no new work and is returned when empty
+	Bad        bool // distrusted
+	Releasing  bool // its return is under way
+	IdleSince  Time
+	Failures   int // errors since the last completion
+	FailedJobs map[JobID]bool
+	Listed     string // the cloud's state for it
+	Sending    bool   // a direct command is under way
+	NoDirect   bool   // the last direct command got no answer
+	unsure     map[runKey]underway
+	dead       []deadTask
+	obs        uint64
+}
+
+// underway holds the tokens of direct starts: of the one that waits for its
+// answer, and of the last one that got none. 0: none.
+type underway struct{ open, lost uint64 }
+
+type deadTask struct {
+	key    runKey
+	exited bool
+	seq    uint64
+}
+
+// Model is everything.
+type Model struct {
+	Images, Classes, Zones, TypeNames intern.Table
+	Jobs                              map[JobID]*Job
+	Finals                            map[JobID]Final
+	Machines                          map[MachineID]*Machine
+	Order                             []*Machine // by id
+	ByName                            map[string]*Machine
+	Teams                             []*Team
+	teamByName                        map[string]*Team
+	Types                             []Type // by type index
+	Tombs                             map[string]bool
+	tombRing                          []string
+	NextMachine                       MachineID
+	jobOrder                          uint64
+	LiveTasks                         int
+	finalSeq                          map[JobID]uint64 // log number of recent final states
+
+	// TermBase is the lowest token of the present term.
+	TermBase uint64
+}
+
+// New makes an empty model.
+func New(p *config.Params) *Model {
+	m := &Model{
+		Jobs: map[JobID]*Job{}, Finals: map[JobID]Final{}, Machines: map[MachineID]*Machine{},
+		ByName: map[string]*Machine{}, teamByName: map[string]*Team{}, Tombs: map[string]bool{},
+		finalSeq: map[JobID]uint64{}, NextMachine: 1,
+	}
+	for _, t := range p.Teams {
+		team := &Team{Team: t}
+		m.Teams = append(m.Teams, team)
+		m.teamByName[t.Name] = team
+	}
+	for _, z := range p.Zones {
+		m.Zones.ID(z)
+	}
+	return m
+}
+
+func kindOf(s string) Kind {
+	switch s {
+	case wire.Gang:
+		return Gang
+	case wire.Service:
+		return Service
+	}
+	return Array
+}
+
+func priorityOf(s string) Priority {
+	switch s {
+	case wire.Production:
+		return Production
+	case wire.High:
+		return High
+	case wire.Normal:
+		return Normal
+	}
+	return Low
+}
+
+// TypesKnown tells whether the cloud's offer is known.
+func (m *Model) TypesKnown() bool {
+	for i := range m.Types {
+		if m.Types[i].Known {
+			return true
+		}
+	}
+	return false
+}
+
+// typeAt returns the slot of a type.
+func (m *Model) typeAt(name string) int32 {
+	id := m.TypeNames.ID(name)
+	for int(id) >= len(m.Types) {
+		m.Types = append(m.Types, Type{})
+	}
+	return id
+}
+
+// TypeOf returns a machine's type.
+func (m *Model) TypeOf(mc *Machine) *Type { return &m.Types[mc.Type] }
+
+// CanEverRun says why a job can never run, or "".
+func (m *Model) CanEverRun(s *wire.JobSpec) string {
+	team := m.teamByName[s.Team]
+	if team == nil {
+		return "unknown team"
+	}
+	n := 1.0
+	if kindOf(s.Shape) != Array {
+		n = float64(s.Tasks)
+	}
+	if (team.CPUsMax > 0 && s.CPUs*n > team.CPUsMax+eps) || (team.GPUsMax > 0 && s.GPUs*n > team.GPUsMax+eps) {
+		return "over the team's limit"
+	}
+	zones := map[int32]bool{}
+	for i := range m.Types {
+		t := &m.Types[i]
+		if !t.Known || s.CPUs > t.CPUs+eps || s.GPUs > t.GPUs+eps || s.MemoryGB > t.MemoryGB+eps || !allowsType(s, t.Name) {
+			continue
+		}
+		for _, z := range t.ZoneIDs {
+			if s.Zone == nil || m.Zones.Name(z) == *s.Zone {
+				zones[z] = true
+			}
+		}
+	}
+	if len(zones) == 0 {
+		return "fits no allowed machine type"
+	}
+	return ""
+}
+
+func allowsType(s *wire.JobSpec, name string) bool {
+	if s.Types == nil {
+		return true
+	}
+	for _, t := range s.Types {
+		if t == name {
+			return true
+		}
+	}
+	return false
+}
+
+// Allowed tells whether a job may use a machine's type, zone and kind at all.
+func (j *Job) Allowed(typ, zone int32, spot bool) bool {
+	if spot && !j.Spec.Spot || j.Zone >= 0 && j.Zone != zone {
+		return false
+	}
+	if j.Types == nil {
+		return true
+	}
+	for _, t := range j.Types {
+		if t == typ {
+			return true
+		}
+	}
+	return false
+}
+
+// ZoneAllows tells whether one more task of the job may start in a zone, given
+// where the others are. Tasks of old attempts count until they are gone.
+func (j *Job) ZoneAllows(zone int32) bool {
+	if !j.Spec.SameZone && !j.Spec.Spread {
+		return true
+	}
+	in, out := j.ZoneCount(zone)
+	if j.Spec.SameZone && out > 0 {
+		return false
+	}
+	return !j.Spec.Spread || in+1 <= (len(j.Tasks)+1)/2
+}
+
+// Fits tells whether a task of the job has room on a machine.
+func (m *Model) Fits(j *Job, mc *Machine) bool {
+	t := &m.Types[mc.Type]
+	return t.Known && mc.CPUs+j.Spec.CPUs <= t.CPUs+eps && mc.GPUs+j.Spec.GPUs <= t.GPUs+eps &&
+		mc.Mem+j.Spec.MemoryGB <= t.MemoryGB+eps
+}
+
+// TeamAllows tells whether n more tasks keep the team's limit.
+func (j *Job) TeamAllows(n int) bool {
+	t := j.Team
+	if t == nil {
+		return false
+	}
+	return (t.CPUsMax == 0 || t.UsedCPUs+j.Spec.CPUs*float64(n) <= t.CPUsMax+eps) &&
+		(t.GPUsMax == 0 || t.UsedGPUs+j.Spec.GPUs*float64(n) <= t.GPUsMax+eps)
+}
+
+// Usable tells whether a machine may be given work.
+func (mc *Machine) Usable() bool {
+	return mc.Reported && !mc.Draining && !mc.Bad && !mc.Releasing && mc.Notice == 0
+}
+
+// Apply carries out one entry of the log.
+func (m *Model) Apply(e *Entry, seq uint64, now Time) error {
+	switch e.Kind {
+	case EntryAccept:
+		return m.accept(e, seq, now)
+	case EntryCancel:
+		if j := m.Jobs[e.Job]; j != nil && !j.Cancelled {
+			j.Cancelled = true
+			j.FinalSeq = seq
+			m.settle(j)
+		}
+	case EntryPlace:
+		return m.place(e, seq, now)
+	case EntryEnded:
+		if r := m.run(e.Job, e.Task, e.Attempt); r != nil {
+			m.dropRun(r, now)
+			m.settle(r.Job)
+		}
+	case EntryDone:
+		j := m.Jobs[e.Job]
+		if j == nil || int(e.Task) >= len(j.Tasks) {
+			return nil
+		}
+		t := &j.Tasks[e.Task]
+		if r := t.Run; r != nil {
+			r.Machine.Touch(m, j, now)
+			m.dropRun(r, now)
+		}
+		if t.State != Done {
+			t.State = Done
+			j.Done++
+			m.LiveTasks--
+		}
+		if j.Done == len(j.Tasks) && !j.Cancelled {
+			j.FinalSeq = seq
+		}
+		m.settle(j)
+	case EntryMachine:
+		m.addMachine(e, seq, now)
+	case EntryGone:
+		m.removeMachine(e.Machine, now)
+	case EntryType:
+		id := m.typeAt(e.Type.Name)
+		t := &m.Types[id]
+		t.MachineType, t.Known, t.ZoneIDs = *e.Type, true, nil
+		for _, z := range e.Type.Zones {
+			t.ZoneIDs = append(t.ZoneIDs, m.Zones.ID(z))
+		}
+	default:
+		return fmt.Errorf("model: unknown entry kind %d", e.Kind)
+	}
+	return nil
+}
+
+func (m *Model) accept(e *Entry, seq uint64, now Time) error {
+	if m.Jobs[e.Job] != nil || m.Finals[e.Job] != 0 {
+		return fmt.Errorf("model: job %d accepted twice", e.Job)
+	}
+	j := m.newJob(e.Job, e.Spec, e.At, now)
+	j.AcceptSeq = seq
+	return nil
+}
+
+func (m *Model) newJob(id JobID, s *wire.JobSpec, at int64, now Time) *Job {
+	j := &Job{
+		ID: id, Spec: s, Kind: kindOf(s.Shape), Priority: priorityOf(s.Priority), Team: m.teamByName[s.Team],
+		Class: m.Classes.ID(s.Class), Image: m.Images.ID(s.Image), Zone: -1, At: at, Order: m.jobOrder,
+		Tasks: make([]Task, s.Tasks), Began: now,
+	}
+	m.jobOrder++
+	if s.Zone != nil {
+		j.Zone = m.Zones.ID(*s.Zone)
+	}
+	if s.Types != nil {
+		j.Types = []int32{}
+		for _, t := range s.Types {
+			j.Types = append(j.Types, m.typeAt(t))
+		}
+	}
+	m.Jobs[id] = j
+	m.LiveTasks += len(j.Tasks)
+	return j
+}
+
+func (m *Model) run(job JobID, task int32, attempt uint32) *Run {
+	j := m.Jobs[job]
+	if j == nil || task < 0 || int(task) >= len(j.Tasks) {
+		return nil
+	}
+	if r := j.Tasks[task].Run; r != nil && r.Attempt == attempt {
+		return r
+	}
+	return nil
+}
+
+func (m *Model) place(e *Entry, seq uint64, now Time) error {
+	j, mc := m.Jobs[e.Job], m.Machines[e.Machine]
+	if j == nil || mc == nil || int(e.Task) >= len(j.Tasks) || j.Tasks[e.Task].State != Waiting || j.Cancelled {
+		return fmt.Errorf("model: placement of %d/%d on %d does not fit the log", e.Job, e.Task, e.Machine)
+	}
+	t := &j.Tasks[e.Task]
+	r := &Run{Job: j, Task: e.Task, Attempt: e.Attempt, Machine: mc, Session: e.Session, Seq: seq, PlacedAt: now}
+	t.State, t.Attempt, t.Run = Placed, e.Attempt, r
+	j.Live++
+	mc.Runs = append(mc.Runs, r)
+	m.charge(r, 1)
+	return nil
+}
+
+func (m *Model) charge(r *Run, sign float64) {
+	s, mc := r.Job.Spec, r.Machine
+	mc.CPUs += sign * s.CPUs
+	mc.GPUs += sign * s.GPUs
+	mc.Mem += sign * s.MemoryGB
+	if len(mc.Runs) == 0 {
+		mc.CPUs, mc.GPUs, mc.Mem = 0, 0, 0 // no drift from rounding
+	}
+	if t := r.Job.Team; t != nil {
+		t.UsedCPUs += sign * s.CPUs
+		t.UsedGPUs += sign * s.GPUs
+	}
+}
+
+func (m *Model) dropRun(r *Run, now Time) {
+	r.setPhase(Unseen)
+	j, mc := r.Job, r.Machine
+	for i, o := range mc.Runs {
+		if o == r {
+			mc.Runs[i] = mc.Runs[len(mc.Runs)-1]
+			mc.Runs = mc.Runs[:len(mc.Runs)-1]
+			break
+		}
+	}
+	if len(mc.Runs) == 0 {
+		mc.IdleSince = now
+	}
+	m.charge(r, -1)
+	j.Live--
+	t := &j.Tasks[r.Task]
+	t.Run = nil
+	if t.State == Placed {
+		t.State = Waiting
+		j.retry = append(j.retry, r.Task)
+	}
+}
+
+// settle turns a job whose tasks are all gone, and which is over, into its
+// final state, which costs a few bytes and is kept for good.
+func (m *Model) settle(j *Job) {
+	if j.Live > 0 || m.Jobs[j.ID] != j {
+		return
+	}
+	switch {
+	case j.Cancelled:
+		m.Finals[j.ID] = FinalCancelled
+	case j.Done == len(j.Tasks):
+		m.Finals[j.ID] = FinalDone
+	default:
+		return
+	}
+	m.LiveTasks -= len(j.Tasks) - j.Done
+	m.finalSeq[j.ID] = j.FinalSeq
+	delete(m.Jobs, j.ID)
+}
+
+// FinalAt tells the log number that made a job final, for answers that must not
+// run ahead of the log.
+func (m *Model) FinalAt(id JobID) uint64 { return m.finalSeq[id] }
+
+// Forget drops bookkeeping that only matters until its entry is committed.
+func (m *Model) Forget(committed uint64) {
+	for id, s := range m.finalSeq {
+		if s <= committed {
+			delete(m.finalSeq, id)
+		}
+	}
+}
+
+func (m *Model) addMachine(e *Entry, seq uint64, now Time) {
+	if m.ByName[e.Info.Name] != nil || m.Machines[e.Machine] != nil {
+		return
+	}
+	mc := &Machine{
+		ID: e.Machine, Info: *e.Info, Type: m.typeAt(e.Info.Type), Zone: m.Zones.ID(e.Info.Zone), Spot: e.Info.Spot,
+		At: e.At, SeenSeq: seq, KnownSince: now, IdleSince: now,
+	}
+	m.Machines[mc.ID] = mc
+	m.ByName[mc.Info.Name] = mc
+	m.Order = append(m.Order, mc)
+	m.NextMachine = max(m.NextMachine, mc.ID+1)
+}
+
+const maxTombs = 1024
+
+func (m *Model) removeMachine(id MachineID, now Time) {
+	mc := m.Machines[id]
+	if mc == nil {
+		return
+	}
+	for len(mc.Runs) > 0 {
+		r := mc.Runs[0]
+		m.dropRun(r, now)
+		m.settle(r.Job)
+	}
+	delete(m.Machines, id)
+	delete(m.ByName, mc.Info.Name)
+	for i, o := range m.Order {
+		if o == mc {
+			m.Order = append(m.Order[:i], m.Order[i+1:]...)
+			break
+		}
+	}
+	m.bury(mc.Info.Name)
+}
+
+// bury remembers a gone machine's name, so that a late report or a lagging list
+// does not bring it back.
+func (m *Model) bury(name string) {
+	if m.Tombs[name] {
+		return
+	}
+	m.Tombs[name] = true
+	m.tombRing = append(m.tombRing, name)
+	if len(m.tombRing) > maxTombs {
+		delete(m.Tombs, m.tombRing[0])
+		m.tombRing = m.tombRing[1:]
+	}
+}
+
+func (r *Run) setPhase(p Phase) {
+	was, is := r.Phase >= Running, p >= Running
+	if was != is {
+		if is {
+			r.Job.Running++
+		} else {
+			r.Job.Running--
+		}
+	}
+	r.Phase = p
+}
+
+// Touch notes that a machine has a job's image.
+func (mc *Machine) Touch(m *Model, j *Job, now Time) {
+	for i := range mc.cache {
+		if mc.cache[i].image == j.Image {
+			mc.cache[i].used = now
+			return
+		}
+	}
+	mc.cache = append(mc.cache, cached{j.Image, j.Spec.ImageGB, now})
+	limit := m.Types[mc.Type].CacheGB
+	if !m.Types[mc.Type].Known {
+		limit = math.Inf(1)
+	}
+	sum := 0.0
+	for _, c := range mc.cache {
+		sum += c.gb
+	}
+	for sum > limit && len(mc.cache) > 1 {
+		oldest := -1
+		for i := range mc.cache {
+			if mc.cache[i].image != j.Image && !mc.uses(mc.cache[i].image) && (oldest < 0 || mc.cache[i].used < mc.cache[oldest].used) {
+				oldest = i
+			}
+		}
+		if oldest < 0 {
+			break
+		}
+		sum -= mc.cache[oldest].gb
+		mc.cache = append(mc.cache[:oldest], mc.cache[oldest+1:]...)
+	}
+}
+
+func (mc *Machine) uses(image int32) bool {
+	for _, r := range mc.Runs {
+		if r.Job.Image == image {
+			return true
+		}
+	}
+	return false
+}
+
+// Has tells whether a machine is thought to have an image. Reports don't list
+// images, so this is inferred from the tasks that got theirs.
+func (mc *Machine) Has(image int32) bool {
+	for i := range mc.cache {
+		if mc.cache[i].image == image {
+			return true
+		}
+	}
+	return false
+}
+
+// Fetches tells whether a machine is getting an image, and how many GB it still
+// has to fetch in all.
+func (mc *Machine) Fetches(image int32) (this bool, gb float64) {
+	var seen [8]int32
+	n := 0
+next:
+	for _, r := range mc.Runs {
+		if r.Phase > Fetching || mc.Has(r.Job.Image) {
+			continue
+		}
+		if r.Job.Image == image {
+			this = true
+		}
+		for _, i := range seen[:n] {
+			if i == r.Job.Image {
+				continue next
+			}
+		}
+		if n < len(seen) {
+			seen[n] = r.Job.Image
+			n++
+		}
+		gb += r.Job.Spec.ImageGB
+	}
+	return this, gb
+}
--- /dev/null
+++ b/internal/model/observe.go
@@ -0,0 +1,349 @@
+package model
+
+import (
+	"fieldhill/wire"
+)
+
+// This file holds the evidence rules: what a worker's word proves, and what may
+// be said to it.
+//
+// A run's start can be under way in three ways, and while one of them is open
+// the run's absence from a report proves nothing:
+//   - in a direct command without an answer: it may be executed as long as the
+//     token it carried is the highest that the worker has seen, so it is over
+//     once the worker reports a higher one (unsure);
+//   - in the answer to a report: the worker drops it after a while and has one
+//     report in flight, so it is over when the next report arrives (answerSeq);
+//   - in a command of an earlier leader (Inherited): over once the worker
+//     reports a token of this term.
+
+// BeginTerm makes the node that holds the model a leader: nothing observed
+// under earlier terms counts, and their commands may still be under way.
+func (m *Model) BeginTerm(base uint64, now Time) {
+	m.TermBase = base
+	for _, mc := range m.Order {
+		mc.Session, mc.ReportSeq, mc.SeenToken, mc.Bump = 0, 0, 0, 0
+		mc.Reported, mc.LastReport, mc.KnownSince, mc.Notice = false, now, now, 0
+		mc.Sending, mc.NoDirect, mc.Releasing = false, false, false
+		mc.unsure, mc.dead = nil, nil
+		for _, r := range mc.Runs {
+			r.setPhase(Unseen)
+			r.Inherited, r.answerSeq, r.Stop = true, 0, false
+		}
+	}
+}
+
+// Token is the token under which this leader commands a machine.
+func (m *Model) Token(mc *Machine) uint64 { return m.TermBase + mc.Bump }
+
+// Verdict is what Observe makes of a report.
+type Verdict struct {
+	Stale   bool // older than what is known
+	Entries []*Entry
+}
+
+// Observe takes a worker's report, or the report that a direct command was
+// answered with, and returns the entries it is evidence for. The caller logs
+// and applies them.
+func (m *Model) Observe(mc *Machine, r *wire.Report, answer bool, now Time) Verdict {
+	if mc.Reported && (r.Session < mc.Session || r.Session == mc.Session && r.Seq <= mc.ReportSeq) {
+		return Verdict{Stale: true}
+	}
+	if r.Session != mc.Session {
+		// Commands for an earlier session are refused by the worker.
+		mc.unsure = nil
+	}
+	mc.Session, mc.ReportSeq, mc.SeenToken = r.Session, r.Seq, r.Token
+	mc.Reported, mc.LastReport = true, now
+	if !answer {
+		mc.NoDirect = false
+	}
+	if r.NoticeS != nil {
+		if mc.Notice == 0 {
+			mc.Notice = now + Time(*r.NoticeS*1e9)
+		}
+	} else {
+		mc.Notice = 0
+	}
+	for k, u := range mc.unsure {
+		if r.Token > max(u.open, u.lost) {
+			delete(mc.unsure, k)
+		}
+	}
+	mc.obs++
+	mc.dead = mc.dead[:0]
+	var out []*Entry
+	for i := range r.Tasks {
+		out = m.observeTask(mc, &r.Tasks[i], out, now)
+	}
+	for _, run := range mc.Runs {
+		if run.seen == mc.obs {
+			continue
+		}
+		if e := m.absent(mc, run, r, answer); e != nil {
+			out = append(out, e)
+		}
+	}
+	return Verdict{Entries: out}
+}
+
+func (m *Model) observeTask(mc *Machine, s *wire.TaskStatus, out []*Entry, now Time) []*Entry {
+	n, task, ok := wire.ParseTaskID(s.Task)
+	if !ok || s.Attempt >= 1<<31 {
+		return out
+	}
+	k := runKey{JobID(n), int32(task), uint32(s.Attempt)}
+	run := m.run(k.job, k.task, k.attempt)
+	if run != nil && run.Machine != mc {
+		run = nil
+	}
+	exited := s.State == wire.TaskExited
+	if run == nil || run.Session > mc.Session {
+		d := deadTask{key: k, exited: exited}
+		if j := m.Jobs[k.job]; exited && s.Cause == wire.CauseDone && j != nil && !j.Cancelled && int(task) < len(j.Tasks) &&
+			j.Tasks[task].State == Waiting {
+			// A result that was kept through a change of leaders still counts.
+			out = append(out, &Entry{Kind: EntryDone, Job: k.job, Task: k.task, Attempt: k.attempt})
+		}
+		mc.dead = append(mc.dead, d)
+		return out
+	}
+	run.seen = mc.obs
+	run.answerSeq = 0
+	if run.Session < mc.Session {
+		// The worker forgot everything between the sessions; a task listed now
+		// under an old attempt can't be, so the listing is not believed.
+		return append(out, &Entry{Kind: EntryEnded, Job: k.job, Task: k.task, Attempt: k.attempt})
+	}
+	switch s.State {
+	case wire.TaskFetching:
+		run.setPhase(Fetching)
+	case wire.TaskWaiting:
+		run.setPhase(Gathering)
+	case wire.TaskRunning:
+		run.setPhase(Running)
+	case wire.TaskSaving:
+		run.setPhase(Saving)
+	}
+	if !exited {
+		if run.Phase >= Gathering {
+			mc.Touch(m, run.Job, now)
+		}
+		if run.Phase >= Running && run.StartedAt == 0 {
+			run.StartedAt = now
+		}
+		return out
+	}
+	mc.dead = append(mc.dead, deadTask{key: k, exited: true})
+	kind := EntryEnded
+	switch s.Cause {
+	case wire.CauseDone:
+		kind = EntryDone
+		mc.Failures, mc.FailedJobs = 0, nil
+	case wire.CauseError:
+		m.blame(mc, run.Job, now)
+	case wire.CauseNoRoom, wire.CauseBusy, wire.CauseUnknown:
+		// What the machine holds is not what is believed of it; a pause keeps
+		// the job from being thrown at it again and again.
+		run.Job.NotBefore = max(run.Job.NotBefore, now+Time(1e9))
+	}
+	return append(out, &Entry{Kind: kind, Job: k.job, Task: k.task, Attempt: k.attempt})
+}
+
+// absent judges a run that a report does not list.
+func (m *Model) absent(mc *Machine, run *Run, r *wire.Report, answer bool) *Entry {
+	gone := &Entry{Kind: EntryEnded, Job: run.Job.ID, Task: run.Task, Attempt: run.Attempt}
+	if run.Session < r.Session {
+		return gone // a newer session: everything of the older one is gone
+	}
+	if run.Session > r.Session {
+		return nil
+	}
+	if !answer && run.answerSeq != 0 && r.Seq > run.answerSeq {
+		run.answerSeq = 0
+	}
+	if run.answerSeq != 0 {
+		return nil
+	}
+	if _, open := mc.unsure[run.key()]; open {
+		if !run.Wanted() {
+			m.fence(mc, run.key())
+		}
+		return nil
+	}
+	if run.Inherited && r.Token < m.TermBase {
+		return nil
+	}
+	if run.Phase != Unseen || !run.Wanted() {
+		return gone
+	}
+	return nil
+}
+
+// blame counts a failure against machine and job. A machine is distrusted when
+// tasks of different jobs fail on it with nothing completed in between, a job
+// pauses longer each time.
+func (m *Model) blame(mc *Machine, j *Job, now Time) {
+	mc.Failures++
+	if mc.FailedJobs == nil {
+		mc.FailedJobs = map[JobID]bool{}
+	}
+	mc.FailedJobs[j.ID] = true
+	if j.AvoidedOn == nil {
+		j.AvoidedOn = map[MachineID]bool{}
+	}
+	j.AvoidedOn[mc.ID] = true
+	j.Errors++
+	if len(mc.FailedJobs) >= 2 {
+		mc.Bad = true
+	}
+	if n := len(j.AvoidedOn); n >= 3 {
+		pause := Time(1e9) << min(n, 6)
+		j.NotBefore = max(j.NotBefore, now+pause)
+	}
+}
+
+// SealDead notes the log number that carries what the last report proved:
+// exited attempts are forgotten by the worker only after it is committed,
+// because their listing is the evidence.
+func (m *Model) SealDead(mc *Machine, seq uint64) {
+	for i := range mc.dead {
+		if mc.dead[i].seq == 0 {
+			mc.dead[i].seq = seq
+		}
+	}
+}
+
+// DeadWaits tells whether an exited attempt waits for the log to be forgotten.
+func (m *Model) DeadWaits(mc *Machine, committed uint64) bool {
+	for _, d := range mc.dead {
+		if d.seq > committed {
+			return true
+		}
+	}
+	return false
+}
+
+const maxCommands = 400
+
+// Commands says what to tell a machine now. Starts go out only when their
+// placement is committed. With viaAnswer the commands go with the answer to the
+// report last observed.
+func (m *Model) Commands(mc *Machine, committed uint64, viaAnswer bool) []wire.Command {
+	cmds := []wire.Command{}
+	for _, d := range mc.dead {
+		if len(cmds) >= maxCommands {
+			return cmds
+		}
+		c := wire.Command{Task: wire.TaskID(uint64(d.key.job), int(d.key.task)), Attempt: uint64(d.key.attempt)}
+		if d.exited {
+			_, open := mc.unsure[d.key]
+			// After it is forgotten a repeated start would run it again, so no
+			// start of it may be under way, from this leader or another.
+			if open || committed < d.seq || mc.SeenToken < m.TermBase {
+				if open {
+					m.fence(mc, d.key)
+				}
+				continue
+			}
+			c.Verb = wire.Forget
+		} else {
+			c.Verb, c.GraceS = wire.Stop, new(float64)
+		}
+		cmds = append(cmds, c)
+	}
+	for _, r := range mc.Runs {
+		if len(cmds) >= maxCommands {
+			break
+		}
+		if r.Session != mc.Session {
+			continue
+		}
+		c := wire.Command{Task: wire.TaskID(uint64(r.Job.ID), int(r.Task)), Attempt: uint64(r.Attempt)}
+		switch {
+		case r.Wanted() && r.Phase == Unseen && committed >= r.Seq:
+			c.Verb = wire.Start
+			if viaAnswer {
+				r.answerSeq = mc.ReportSeq
+			}
+		case r.Stop && !r.Job.Cancelled && committed >= r.Seq:
+			c.Verb, c.GraceS = wire.Stop, new(float64)
+			if !r.Hard && r.Job.Spec.CheckpointS > 0 {
+				*c.GraceS = r.Job.Spec.SaveS + 1
+			}
+		case r.Job.Cancelled && committed >= r.Job.FinalSeq:
+			c.Verb, c.GraceS = wire.Stop, new(float64)
+		default:
+			continue
+		}
+		cmds = append(cmds, c)
+	}
+	return cmds
+}
+
+// fence raises a machine's token above a start that may still be under way, so
+// that it can't be executed once the worker has seen the new one. It needs no
+// write: the low bits of a token belong to the leader.
+func (m *Model) fence(mc *Machine, k runKey) {
+	if u := mc.unsure[k]; u.lost >= m.Token(mc) {
+		mc.Bump++
+	}
+}
+
+// Sent notes that starts are going out in a direct command.
+func (m *Model) Sent(mc *Machine, cmds []wire.Command, token uint64) {
+	eachStart(cmds, func(k runKey) {
+		if mc.unsure == nil {
+			mc.unsure = map[runKey]underway{}
+		}
+		u := mc.unsure[k]
+		u.open = token
+		mc.unsure[k] = u
+	})
+}
+
+// Answered notes that a direct command was answered, or surely not sent: this
+// copy is not under way. An earlier one without an answer still is, unless its
+// token was lower than the one the worker has now accepted.
+func (m *Model) Answered(mc *Machine, cmds []wire.Command, token uint64, accepted bool) {
+	eachStart(cmds, func(k runKey) {
+		u, ok := mc.unsure[k]
+		if !ok {
+			return
+		}
+		if u.open == token {
+			u.open = 0
+		}
+		if accepted && u.lost < token {
+			u.lost = 0
+		}
+		if u.open == 0 && u.lost == 0 {
+			delete(mc.unsure, k)
+		} else {
+			mc.unsure[k] = u
+		}
+	})
+}
+
+// Lost notes that a direct command got no answer: it may be executed later.
+func (m *Model) Lost(mc *Machine, cmds []wire.Command, token uint64) {
+	mc.NoDirect = true
+	eachStart(cmds, func(k runKey) {
+		if u, ok := mc.unsure[k]; ok {
+			u.lost = max(u.lost, token)
+			if u.open == token {
+				u.open = 0
+			}
+			mc.unsure[k] = u
+		}
+	})
+}
+
+func eachStart(cmds []wire.Command, f func(runKey)) {
+	for _, c := range cmds {
+		if c.Verb == wire.Start {
+			n, task, _ := wire.ParseTaskID(c.Task)
+			f(runKey{JobID(n), int32(task), uint32(c.Attempt)})
+		}
+	}
+}
--- /dev/null
+++ b/internal/model/snapshot.go
@@ -0,0 +1,191 @@
+package model
+
+import (
+	"fmt"
+	"sort"
+
+	"fieldhill/internal/codec"
+	"fieldhill/wire"
+)
+
+const snapshotVersion = 1
+
+// Snapshot writes the replicated part, in an order that depends on it alone.
+func (m *Model) Snapshot() []byte {
+	b := []byte{snapshotVersion}
+	nt := 0
+	for i := range m.Types {
+		if m.Types[i].Known {
+			nt++
+		}
+	}
+	b = codec.Uint(b, uint64(nt))
+	for i := range m.Types {
+		if m.Types[i].Known {
+			b = appendType(b, &m.Types[i].MachineType)
+		}
+	}
+	b = codec.Uint(b, uint64(m.NextMachine))
+	b = codec.Uint(b, uint64(len(m.Order)))
+	for _, mc := range m.Order {
+		b = codec.Uint(b, uint64(mc.ID))
+		b = codec.Uint(b, uint64(mc.At))
+		b = appendInfo(b, &mc.Info)
+		b = codec.Uint(b, uint64(len(mc.cache)))
+		for _, c := range mc.cache {
+			b = codec.String(b, m.Images.Name(c.image))
+			b = codec.Float(b, c.gb)
+		}
+	}
+	b = codec.Uint(b, uint64(len(m.tombRing)))
+	for _, n := range m.tombRing {
+		b = codec.String(b, n)
+	}
+	for _, f := range []Final{FinalDone, FinalCancelled} {
+		ids := make([]JobID, 0, len(m.Finals))
+		for id, is := range m.Finals {
+			if is == f {
+				ids = append(ids, id)
+			}
+		}
+		sort.Slice(ids, func(i, k int) bool { return ids[i] < ids[k] })
+		b = codec.Uint(b, uint64(len(ids)))
+		last := JobID(0)
+		for _, id := range ids {
+			b = codec.Uint(b, uint64(id-last))
+			last = id
+		}
+	}
+	jobs := m.JobsInOrder()
+	b = codec.Uint(b, uint64(len(jobs)))
+	for _, j := range jobs {
+		b = codec.Uint(b, uint64(j.At))
+		b = appendSpec(b, j.Spec)
+		b = codec.Bool(b, j.Cancelled)
+		b = appendTasks(b, j)
+	}
+	return b
+}
+
+// appendTasks writes runs of equal tasks as one, and placed tasks in full.
+func appendTasks(b []byte, j *Job) []byte {
+	for i := 0; i < len(j.Tasks); {
+		t := &j.Tasks[i]
+		n := 1
+		for t.Run == nil && i+n < len(j.Tasks) && j.Tasks[i+n].Run == nil && j.Tasks[i+n].State == t.State && j.Tasks[i+n].Attempt == t.Attempt {
+			n++
+		}
+		b = append(b, byte(t.State))
+		b = codec.Uint(b, uint64(t.Attempt))
+		b = codec.Uint(b, uint64(n))
+		if t.Run != nil {
+			b = codec.Uint(b, uint64(t.Run.Machine.ID))
+			b = codec.Uint(b, t.Run.Session)
+		}
+		i += n
+	}
+	return b
+}
+
+// JobsInOrder lists the live jobs in the order of acceptance.
+func (m *Model) JobsInOrder() []*Job {
+	jobs := make([]*Job, 0, len(m.Jobs))
+	for _, j := range m.Jobs {
+		jobs = append(jobs, j)
+	}
+	sort.Slice(jobs, func(i, k int) bool { return jobs[i].Order < jobs[k].Order })
+	return jobs
+}
+
+// Restore fills an empty model from a snapshot taken at a log number.
+func (m *Model) Restore(b []byte, seq uint64, now Time) error {
+	if len(b) == 0 || b[0] != snapshotVersion {
+		return fmt.Errorf("model: snapshot of an unknown version")
+	}
+	r := &codec.Reader{B: b[1:]}
+	for range r.Max(uint64(len(b))) {
+		if err := m.Apply(&Entry{Kind: EntryType, Type: readType(r)}, seq, now); err != nil || r.Err != nil {
+			return codec.ErrShort
+		}
+	}
+	next := MachineID(r.Max(1 << 31))
+	for range r.Max(uint64(len(b))) {
+		e := &Entry{Kind: EntryMachine, Machine: MachineID(r.Max(1 << 31)), At: int64(r.Uint())}
+		e.Info = readInfo(r)
+		if r.Err != nil {
+			return r.Err
+		}
+		m.addMachine(e, seq, now)
+		mc := m.Machines[e.Machine]
+		for range r.Max(uint64(len(b))) {
+			mc.cache = append(mc.cache, cached{m.Images.ID(r.String()), r.Float(), now})
+		}
+	}
+	m.NextMachine = max(m.NextMachine, next)
+	for range r.Max(uint64(len(b))) {
+		m.bury(r.String())
+	}
+	for _, f := range []Final{FinalDone, FinalCancelled} {
+		id := JobID(0)
+		for range r.Max(uint64(len(b))) {
+			id += JobID(r.Uint())
+			m.Finals[id] = f
+		}
+	}
+	for range r.Max(uint64(len(b))) {
+		at := int64(r.Uint())
+		s := readSpec(r)
+		cancelled := r.Bool()
+		n, ok := wire.JobNumber(s.ID)
+		if r.Err != nil || !ok || s.Tasks < 1 {
+			return codec.ErrShort
+		}
+		j := m.newJob(JobID(n), s, at, now)
+		j.AcceptSeq = seq
+		if err := m.restoreTasks(r, j, seq, now); err != nil {
+			return err
+		}
+		if cancelled {
+			j.Cancelled, j.FinalSeq = true, seq
+		}
+	}
+	if !r.Done() {
+		return codec.ErrShort
+	}
+	return nil
+}
+
+func (m *Model) restoreTasks(r *codec.Reader, j *Job, seq uint64, now Time) error {
+	for i := 0; i < len(j.Tasks); {
+		if len(r.B) == 0 {
+			return codec.ErrShort
+		}
+		state := TaskState(r.B[0])
+		r.B = r.B[1:]
+		attempt := uint32(r.Max(1 << 31))
+		n := r.Max(uint64(len(j.Tasks) - i))
+		if r.Err != nil || n == 0 || state > Done {
+			return codec.ErrShort
+		}
+		if state == Placed {
+			e := &Entry{Kind: EntryPlace, Job: j.ID, Task: int32(i), Attempt: attempt, Machine: MachineID(r.Max(1 << 31)), Session: r.Uint()}
+			if r.Err != nil || n != 1 {
+				return codec.ErrShort
+			}
+			if err := m.place(e, seq, now); err != nil {
+				return err
+			}
+		}
+		for k := range n {
+			t := &j.Tasks[i+k]
+			t.Attempt = attempt
+			if state == Done {
+				t.State = Done
+				j.Done++
+				m.LiveTasks--
+			}
+		}
+		i += n
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/mphttp/mphttp.go
@@ -0,0 +1,97 @@
+// Package mphttp is the client side of the platform's HTTP with MessagePack
+// bodies, shared by the clients of the state service, the cloud and the workers.
+package mphttp
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"time"
+
+	"fieldhill/wire"
+)
+
+// StatusError is an answer other than the one hoped for.
+type StatusError struct {
+	Code int
+	Body []byte
+}
+
+func (e *StatusError) Error() string { return fmt.Sprintf("status %d", e.Code) }
+
+// Code returns the status behind an error, or 0 if there was no answer.
+func Code(err error) int {
+	var s *StatusError
+	if errors.As(err, &s) {
+		return s.Code
+	}
+	return 0
+}
+
+// Unsent tells whether a request surely never left: no connection was made.
+func Unsent(err error) bool {
+	var op *net.OpError
+	return errors.As(err, &op) && op.Op == "dial"
+}
+
+// Client talks to hosts over connections that are kept.
+type Client struct {
+	http *http.Client
+}
+
+// New makes a client that keeps up to perHost connections to a host.
+func New(perHost, total int, dial time.Duration) *Client {
+	d := &net.Dialer{Timeout: dial, KeepAlive: -1}
+	return &Client{http: &http.Client{
+		Transport: &http.Transport{
+			DialContext: d.DialContext, MaxIdleConns: total, MaxIdleConnsPerHost: perHost, MaxConnsPerHost: perHost,
+			IdleConnTimeout: 2 * time.Minute, DisableCompression: true,
+			ReadBufferSize: 2 << 10, WriteBufferSize: 2 << 10, MaxResponseHeaderBytes: 8 << 10,
+		},
+		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
+	}}
+}
+
+// Do sends a request and decodes a 200 into out. Any other status is a
+// *StatusError; an error without a status means that the fate is unknown,
+// unless Unsent.
+func (c *Client) Do(ctx context.Context, method, addr, path string, in, out any, limit int64) error {
+	var body io.Reader
+	if in != nil {
+		b, err := wire.Marshal(in)
+		if err != nil {
+			return err
+		}
+		body = bytes.NewReader(b)
+	}
+	req, err := http.NewRequestWithContext(ctx, method, "http://"+addr+path, body)
+	if err != nil {
+		return err
+	}
+	if in != nil {
+		req.Header.Set("Content-Type", wire.ContentType)
+	}
+	resp, err := c.http.Do(req)
+	if err != nil {
+		return err
+	}
+	defer resp.Body.Close()
+	b, err := io.ReadAll(io.LimitReader(resp.Body, limit+1))
+	if err != nil {
+		return err
+	}
+	if int64(len(b)) > limit {
+		return fmt.Errorf("answer over %d bytes", limit)
+	}
+	if resp.StatusCode != http.StatusOK {
+		return &StatusError{resp.StatusCode, b}
+	}
+	if out == nil {
+		return nil
+	}
+	return wire.Unmarshal(b, out)
+}
--- /dev/null
+++ b/internal/peer/peer.go
@@ -0,0 +1,334 @@
+// Package peer carries requests between controllers in hand-written binary
+// frames over one kept connection in each direction.
+//
+// A frame is: length (4 bytes, big endian, of what follows), version (1),
+// kind (1), request number (8, big endian), payload. Frames of another version
+// or over the size limit end the connection.
+package peer
+
+import (
+	"bufio"
+	"context"
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"sync"
+	"time"
+
+	"fieldhill/internal/codec"
+)
+
+const (
+	version  = 1
+	kindCall = 1
+	kindBack = 2
+	header   = 10
+	// MaxPayload fits the largest request of a user with room for its envelope.
+	MaxPayload = 80 << 10
+	maxPending = 512
+)
+
+// Op tells what a call asks for.
+type Op uint8
+
+// The operations.
+const (
+	OpPing Op = iota + 1
+	OpSubmit
+	OpStatus
+	OpCancel
+)
+
+// Call is a request to another controller.
+type Call struct {
+	Op   Op
+	ID   string
+	Body []byte
+}
+
+// Reply is its answer: what is to be told to the user.
+type Reply struct {
+	Status     int
+	RetryAfter int // seconds; 0: not given
+	Body       []byte
+}
+
+// ErrDown says that the other controller can't be reached now.
+var ErrDown = errors.New("peer: not connected")
+
+func appendCall(b []byte, c *Call) []byte {
+	b = append(b, byte(c.Op))
+	b = codec.String(b, c.ID)
+	return codec.Bytes(b, c.Body)
+}
+
+func readCall(p []byte) (*Call, error) {
+	if len(p) == 0 {
+		return nil, codec.ErrShort
+	}
+	r := codec.Reader{B: p[1:]}
+	c := &Call{Op: Op(p[0]), ID: r.String(), Body: r.Bytes()}
+	if !r.Done() {
+		return nil, codec.ErrShort
+	}
+	return c, nil
+}
+
+func appendReply(b []byte, a *Reply) []byte {
+	b = codec.Uint(b, uint64(a.Status))
+	b = codec.Uint(b, uint64(a.RetryAfter))
+	return codec.Bytes(b, a.Body)
+}
+
+func readReply(p []byte) (*Reply, error) {
+	r := codec.Reader{B: p}
+	a := &Reply{Status: r.Max(599), RetryAfter: r.Max(3600), Body: r.Bytes()}
+	if !r.Done() || a.Status < 100 {
+		return nil, codec.ErrShort
+	}
+	return a, nil
+}
+
+func appendFrame(b []byte, kind byte, id uint64, payload []byte) []byte {
+	b = binary.BigEndian.AppendUint32(b, uint32(header+len(payload)))
+	b = append(b, version, kind)
+	b = binary.BigEndian.AppendUint64(b, id)
+	return append(b, payload...)
+}
+
+func readFrame(r io.Reader) (kind byte, id uint64, payload []byte, err error) {
+	var h [4 + header]byte
+	if _, err = io.ReadFull(r, h[:]); err != nil {
+		return
+	}
+	n := binary.BigEndian.Uint32(h[:4])
+	if n < header || n > header+MaxPayload {
+		return 0, 0, nil, fmt.Errorf("peer: frame of %d bytes", n)
+	}
+	if h[4] != version {
+		return 0, 0, nil, fmt.Errorf("peer: frame of version %d", h[4])
+	}
+	payload = make([]byte, n-header)
+	_, err = io.ReadFull(r, payload)
+	return h[5], binary.BigEndian.Uint64(h[6:]), payload, err
+}
+
+// Handler answers calls.
+type Handler func(context.Context, *Call) *Reply
+
+// Serve answers other controllers until the context ends.
+func Serve(ctx context.Context, ln net.Listener, h Handler, logger *slog.Logger) error {
+	stop := context.AfterFunc(ctx, func() { ln.Close() })
+	defer stop()
+	var wg sync.WaitGroup
+	defer wg.Wait()
+	for {
+		c, err := ln.Accept()
+		if err != nil {
+			if ctx.Err() != nil {
+				return ctx.Err()
+			}
+			logger.Warn("peer listener", "err", err)
+			select {
+			case <-ctx.Done():
+				return ctx.Err()
+			case <-time.After(100 * time.Millisecond):
+			}
+			continue
+		}
+		wg.Go(func() {
+			if err := serveConn(ctx, c, h); err != nil && !errors.Is(err, io.EOF) && ctx.Err() == nil {
+				logger.Debug("peer connection ended", "from", c.RemoteAddr(), "err", err)
+			}
+		})
+	}
+}
+
+// idle ends a connection over which nothing came for long: pings come often.
+const idle = 30 * time.Second
+
+func serveConn(ctx context.Context, c net.Conn, h Handler) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	stop := context.AfterFunc(ctx, func() { c.Close() })
+	defer stop()
+	defer c.Close()
+	var mu sync.Mutex
+	slots := make(chan struct{}, maxPending)
+	r := bufio.NewReaderSize(c, 4<<10)
+	for {
+		_ = c.SetReadDeadline(time.Now().Add(idle))
+		kind, id, p, err := readFrame(r)
+		if err != nil {
+			return err
+		}
+		if kind != kindCall {
+			return fmt.Errorf("peer: frame of kind %d", kind)
+		}
+		call, err := readCall(p)
+		if err != nil {
+			return err
+		}
+		select {
+		case slots <- struct{}{}:
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+		go func() {
+			defer func() { <-slots }()
+			b := appendFrame(nil, kindBack, id, appendReply(nil, h(ctx, call)))
+			mu.Lock()
+			defer mu.Unlock()
+			_ = c.SetWriteDeadline(time.Now().Add(5 * time.Second))
+			if _, err := c.Write(b); err != nil {
+				cancel()
+			}
+		}()
+	}
+}
+
+// Link is the connection to one other controller. Run keeps it up.
+type Link struct {
+	Node, Addr string
+	logger     *slog.Logger
+
+	mu      sync.Mutex
+	conn    net.Conn
+	next    uint64
+	pending map[uint64]chan *Reply
+	heard   time.Time
+}
+
+// NewLink makes a link that is down.
+func NewLink(node, addr string, logger *slog.Logger) *Link {
+	return &Link{Node: node, Addr: addr, logger: logger, pending: map[uint64]chan *Reply{}}
+}
+
+// Heard tells when the other side last answered anything.
+func (l *Link) Heard() time.Time {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.heard
+}
+
+// Run connects, pings and reconnects until the context ends.
+func (l *Link) Run(ctx context.Context) {
+	const pingEvery = 500 * time.Millisecond
+	for ctx.Err() == nil {
+		d := net.Dialer{Timeout: time.Second, KeepAlive: -1}
+		c, err := d.DialContext(ctx, "tcp", l.Addr)
+		if err == nil {
+			l.use(ctx, c, pingEvery)
+		}
+		select {
+		case <-ctx.Done():
+		case <-time.After(pingEvery):
+		}
+	}
+}
+
+// silent is after how long without any answer a connection is given up: a peer
+// without power says nothing at all.
+const silent = 2500 * time.Millisecond
+
+func (l *Link) use(ctx context.Context, c net.Conn, pingEvery time.Duration) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	stop := context.AfterFunc(ctx, func() { c.Close() })
+	defer stop()
+	l.mu.Lock()
+	l.conn = c
+	l.mu.Unlock()
+	defer l.drop(c)
+	go func() {
+		defer cancel()
+		t := time.NewTicker(pingEvery)
+		defer t.Stop()
+		began := time.Now()
+		for {
+			pctx, pc := context.WithTimeout(ctx, silent)
+			go func() {
+				defer pc()
+				_, _ = l.Call(pctx, &Call{Op: OpPing})
+			}()
+			select {
+			case <-ctx.Done():
+				return
+			case <-t.C:
+			}
+			if last := l.Heard(); time.Since(last) > silent && time.Since(began) > silent {
+				return
+			}
+		}
+	}()
+	r := bufio.NewReaderSize(c, 4<<10)
+	for {
+		kind, id, p, err := readFrame(r)
+		if err != nil {
+			l.logger.Debug("peer link down", "node", l.Node, "err", err)
+			return
+		}
+		a, err := readReply(p)
+		if err != nil || kind != kindBack {
+			l.logger.Warn("peer answer malformed", "node", l.Node)
+			return
+		}
+		l.mu.Lock()
+		l.heard = time.Now()
+		ch := l.pending[id]
+		delete(l.pending, id)
+		l.mu.Unlock()
+		if ch != nil {
+			ch <- a
+		}
+	}
+}
+
+func (l *Link) drop(c net.Conn) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.conn = nil
+	l.heard = time.Time{}
+	for id, ch := range l.pending {
+		close(ch)
+		delete(l.pending, id)
+	}
+	c.Close()
+}
+
+// Call asks the other controller. ErrDown means that the call surely was not
+// sent; another error that its fate is unknown.
+func (l *Link) Call(ctx context.Context, c *Call) (*Reply, error) {
+	ch := make(chan *Reply, 1)
+	l.mu.Lock()
+	if l.conn == nil || len(l.pending) >= maxPending {
+		l.mu.Unlock()
+		return nil, ErrDown
+	}
+	l.next++
+	id := l.next
+	l.pending[id] = ch
+	conn := l.conn
+	_ = conn.SetWriteDeadline(time.Now().Add(2 * time.Second))
+	_, err := conn.Write(appendFrame(nil, kindCall, id, appendCall(nil, c)))
+	l.mu.Unlock()
+	if err != nil {
+		conn.Close()
+		return nil, err
+	}
+	select {
+	case a, ok := <-ch:
+		if !ok {
+			return nil, errors.New("peer: connection lost")
+		}
+		return a, nil
+	case <-ctx.Done():
+		l.mu.Lock()
+		delete(l.pending, id)
+		l.mu.Unlock()
+		return nil, ctx.Err()
+	}
+}
--- /dev/null
+++ b/internal/statesvc/statesvc.go
@@ -0,0 +1,89 @@
+// Package statesvc is the client of the state service, with a budget that keeps
+// this node's share of its request rate.
+package statesvc
+
+import (
+	"context"
+	"fmt"
+	"net/url"
+	"time"
+
+	"golang.org/x/time/rate"
+
+	"fieldhill/internal/mphttp"
+	"fieldhill/wire"
+)
+
+const maxAnswer = 8 << 20
+
+// Client talks to the state service.
+type Client struct {
+	http   *mphttp.Client
+	addr   string
+	budget *rate.Limiter
+}
+
+// New makes a client that sends at most rps requests a second. Renewals of a
+// lease are not held back by the budget.
+func New(addr string, rps float64) *Client {
+	return &Client{http: mphttp.New(8, 8, 2*time.Second), addr: addr, budget: rate.NewLimiter(rate.Limit(rps), max(1, int(rps)))}
+}
+
+func (c *Client) do(ctx context.Context, method, path string, in, out any, timeout time.Duration) error {
+	if err := c.budget.Wait(ctx); err != nil {
+		return err
+	}
+	return c.urgent(ctx, method, path, in, out, timeout)
+}
+
+func (c *Client) urgent(ctx context.Context, method, path string, in, out any, timeout time.Duration) error {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	return c.http.Do(ctx, method, c.addr, path, in, out, maxAnswer)
+}
+
+// Get reads a key. A missing key is a status error with code 404.
+func (c *Client) Get(ctx context.Context, key string) (*wire.Item, error) {
+	var it wire.Item
+	return &it, c.do(ctx, "GET", wire.PathKeys+"/"+key, nil, &it, 2*time.Second)
+}
+
+// Range reads a page of keys.
+func (c *Client) Range(ctx context.Context, prefix, after string, limit int) (*wire.Items, error) {
+	q := url.Values{"starts": {prefix}, "most": {fmt.Sprint(limit)}}
+	if after != "" {
+		q.Set("after", after)
+	}
+	var p wire.Items
+	return &p, c.do(ctx, "GET", wire.PathKeys+"?"+q.Encode(), nil, &p, 4*time.Second)
+}
+
+// Txn runs a transaction. A failed condition is a status error with code 409.
+func (c *Client) Txn(ctx context.Context, t *wire.Txn) (*wire.TxnAnswer, error) {
+	var a wire.TxnAnswer
+	return &a, c.do(ctx, "POST", wire.PathTxn, t, &a, 2*time.Second)
+}
+
+// Grant asks for a lease.
+func (c *Client) Grant(ctx context.Context, ttl time.Duration) (uint64, error) {
+	var a wire.LeaseAnswer
+	err := c.urgent(ctx, "POST", wire.PathLeases, &wire.LeaseAsk{TTLMillis: ttl.Milliseconds()}, &a, 2*time.Second)
+	return a.Lease, err
+}
+
+// Renew renews a lease. An ended one is a status error with code 404.
+func (c *Client) Renew(ctx context.Context, lease uint64, timeout time.Duration) error {
+	return c.urgent(ctx, "POST", fmt.Sprintf("%s/%d/touch", wire.PathLeases, lease), nil, nil, timeout)
+}
+
+// Revoke ends a lease at once.
+func (c *Client) Revoke(ctx context.Context, lease uint64) error {
+	return c.urgent(ctx, "DELETE", fmt.Sprintf("%s/%d", wire.PathLeases, lease), nil, nil, 2*time.Second)
+}
+
+// Follow waits for changes under a prefix.
+func (c *Client) Follow(ctx context.Context, prefix string, after uint64, hold time.Duration) (*wire.Events, error) {
+	q := url.Values{"starts": {prefix}, "after": {fmt.Sprint(after)}, "hold_ms": {fmt.Sprint(hold.Milliseconds())}}
+	var e wire.Events
+	return &e, c.do(ctx, "GET", wire.PathFollow+"?"+q.Encode(), nil, &e, hold+2*time.Second)
+}
