--- /dev/null
+++ b/wire/wire_test.go
@@ -0,0 +1,126 @@
+package wire
+
+import (
+	"math"
+	"strings"
+	"testing"
+)
+
+func goodJob() map[string]any {
+	return map[string]any{"name_id": "req-000412", "jobclass": "train", "owner": "vision", "shape": "group", "rank": "high",
+		"pieces": 16, "cores": 8.0, "gpus": 1.0, "mem_gb": 64.0, "bundle": "img-07", "image_gb": 6.2, "models": []string{"g8"},
+		"hall": nil, "same_place": true, "spread": false, "loaners": true, "runtime_s": 240.0, "snapshot_s": 30.0, "flush_s": 4.0,
+		"due_s": 900.0, "unknown": map[string]any{"deep": []any{1, "x", nil}}}
+}
+
+func TestParseJobTakesTheProtocolsExample(t *testing.T) {
+	j := goodJob()
+	b, _ := Marshal(j)
+	s, err := ParseJob(b)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if s.ID != "req-000412" || s.Tasks != 16 || s.CPUs != 8 || len(s.Types) != 1 || s.Zone != nil || *s.DeadlineS != 900 || !s.SameZone {
+		t.Errorf("read %+v", s)
+	}
+	// Amounts may come as integers, and what may be null may be left out.
+	j["cores"] = 8
+	delete(j, "due_s")
+	delete(j, "models")
+	b, _ = Marshal(j)
+	if s, err = ParseJob(b); err != nil || s.CPUs != 8 || s.DeadlineS != nil || s.Types != nil {
+		t.Errorf("read %+v, %v", s, err)
+	}
+}
+
+func TestParseJobRefusesWhatIsMalformed(t *testing.T) {
+	bad := map[string][]any{
+		"name_id":  {nil, 5, "", "req-", "req-12", "job-000412", "req-0004120", "req-00041x", "req-9999999999999999"},
+		"jobclass": {nil, "", 7},
+		"shape":    {"service", nil},
+		"rank":     {"low", 3},
+		"pieces":   {0, -1, 100_001, 1.5, "3", nil, uint64(math.MaxUint64)},
+		"cores":    {math.NaN(), math.Inf(1), -1.0, "8", nil, true},
+		"mem_gb":   {math.Inf(-1)},
+		"models":   {"g8", []any{1}},
+		"hall":     {5},
+		"spread":   {nil, 1},
+		"due_s":    {"soon", -1.0},
+	}
+	for field, values := range bad {
+		for _, v := range values {
+			j := goodJob()
+			j[field] = v
+			b, err := Marshal(j)
+			if err != nil {
+				t.Fatal(err)
+			}
+			if _, err := ParseJob(b); err == nil {
+				t.Errorf("%s = %v was taken", field, v)
+			}
+		}
+	}
+	for _, f := range requiredFields {
+		j := goodJob()
+		delete(j, f)
+		b, _ := Marshal(j)
+		if _, err := ParseJob(b); err == nil || !strings.Contains(err.Error(), f) {
+			t.Errorf("without %s: %v", f, err)
+		}
+	}
+	b, _ := Marshal(goodJob())
+	for name, body := range map[string][]byte{"empty": nil, "list": {0x90}, "trailing": append(b[:len(b):len(b)], 0xc0),
+		"cut": b[:len(b)-1], "text": []byte("hello"), "deep": append([]byte{0x81, 0xa1, 'x'}, make91(60_000)...)} {
+		if _, err := ParseJob(body); err == nil {
+			t.Errorf("%s was taken", name)
+		}
+		if _, err := PeekJobID(body); err == nil {
+			t.Errorf("%s gave an id", name)
+		}
+	}
+}
+
+// make91 nests lists; a reader that recursed into them would use stack at will.
+func make91(n int) []byte {
+	b := []byte(strings.Repeat("\x91", n))
+	return append(b, 0xc0)
+}
+
+func TestIDsStandForNumbers(t *testing.T) {
+	for _, id := range []string{"req-000000", "req-000412", "req-999999", "req-1000000"} {
+		n, ok := JobNumber(id)
+		if !ok || JobID(n) != id {
+			t.Errorf("%s became %d, %v", id, n, ok)
+		}
+		j, k, ok := ParseTaskID(TaskID(n, 31))
+		if !ok || j != n || k != 31 {
+			t.Errorf("task of %s became %d/%d", id, j, k)
+		}
+	}
+	for _, s := range []string{"req-000412", "req-000412/", "req-000412/-1", "req-000412/100000", "x/1"} {
+		if _, _, ok := ParseTaskID(s); ok {
+			t.Errorf("%q was read as a task", s)
+		}
+	}
+}
+
+func FuzzParse(f *testing.F) {
+	b, _ := Marshal(goodJob())
+	f.Add(b)
+	f.Add([]byte{0x81, 0xa7, 'n', 'a', 'm', 'e', '_', 'i', 'd', 0xc0})
+	f.Add([]byte{0xdf, 0xff, 0xff, 0xff, 0xff})
+	f.Fuzz(func(t *testing.T, b []byte) {
+		if s, err := ParseJob(b); err == nil {
+			if _, ok := JobNumber(s.ID); !ok || s.Tasks < 1 || !(s.CPUs >= 0) {
+				t.Errorf("took %+v", s)
+			}
+			if _, err := PeekJobID(b); err != nil {
+				t.Errorf("no id in a good job: %v", err)
+			}
+		}
+		var r Report
+		_ = Unmarshal(b, &r)
+		var e Events
+		_ = Unmarshal(b, &e)
+	})
+}
