--- a/cmd/fieldhill/main.go
+++ b/cmd/fieldhill/main.go
@@ -16,6 +16,7 @@
 
 	"fieldhill/internal/config"
 	"fieldhill/internal/controller"
+	"fieldhill/internal/host"
 )
 
 type cli struct {
@@ -71,7 +72,7 @@
 	if share := set.Params.Limits.CPUShare; share < 1.5 {
 		runtime.GOMAXPROCS(1) // threads beyond the share only cost switches
 	}
-	return controller.New(set, controller.Options{
+	return controller.New(host.Real{}, set, controller.Options{
 		Beta: s.Beta, Threshold: s.Threshold, WaitRounds: s.WaitRounds, Round: s.Round,
 	}, logger).Run(context.Background())
 }
--- a/internal/cloud/cloud.go
+++ b/internal/cloud/cloud.go
@@ -9,6 +9,7 @@
 
 	"golang.org/x/time/rate"
 
+	"fieldhill/internal/host"
 	"fieldhill/internal/mphttp"
 	"fieldhill/wire"
 )
@@ -21,8 +22,8 @@
 }
 
 // New makes a client that sends at most rps requests a second.
-func New(addr string, rps float64) *Client {
-	return &Client{http: mphttp.New(4, 4, 2*time.Second), addr: addr, budget: rate.NewLimiter(rate.Limit(rps), max(1, int(rps)))}
+func New(via host.Net, addr string, rps float64) *Client {
+	return &Client{http: mphttp.New(via, 4, 4, 2*time.Second), addr: addr, budget: rate.NewLimiter(rate.Limit(rps), max(1, int(rps)))}
 }
 
 func (c *Client) do(ctx context.Context, method, path string, in, out any) error {
@@ -34,6 +35,9 @@
 	return c.http.Do(ctx, method, c.addr, path, in, out, 1<<20)
 }
 
+// Close ends idle connections.
+func (c *Client) Close() { c.http.Close() }
+
 // Types asks what can be rented.
 func (c *Client) Types(ctx context.Context) ([]wire.MachineType, error) {
 	var t wire.MachineTypes
--- a/internal/controller/node.go
+++ b/internal/controller/node.go
@@ -13,7 +13,6 @@
 	"errors"
 	"fmt"
 	"log/slog"
-	"net"
 	"os"
 	"sync"
 	"sync/atomic"
@@ -24,6 +23,7 @@
 	"fieldhill/internal/codec"
 	"fieldhill/internal/config"
 	"fieldhill/internal/fleet"
+	"fieldhill/internal/host"
 	"fieldhill/internal/lead"
 	"fieldhill/internal/model"
 	"fieldhill/internal/oplog"
@@ -46,6 +46,7 @@
 
 // Node is a controller.
 type Node struct {
+	via    host.Net
 	set    *config.Settings
 	opt    Options
 	log    *slog.Logger
@@ -113,19 +114,19 @@
 }
 
 // New makes a node.
-func New(set *config.Settings, opt Options, logger *slog.Logger) *Node {
+func New(via host.Net, set *config.Settings, opt Options, logger *slog.Logger) *Node {
 	p := &set.Params
 	members := float64(len(set.Members) + 1)
 	n := &Node{
-		set: set, opt: opt, log: logger, start: time.Now(),
-		state:  statesvc.New(set.Endpoints.State, max(4, p.State.RPS/members*0.95)),
-		cloud:  cloud.New(set.Endpoints.Cloud, p.Cloud.RPS*0.8),
-		worker: worker.New(3*time.Second, max(16, p.Limits.MaxSockets/4)),
+		via: via, set: set, opt: opt, log: logger, start: time.Now(),
+		state:  statesvc.New(via, set.Endpoints.State, max(4, p.State.RPS/members*0.95)),
+		cloud:  cloud.New(via, set.Endpoints.Cloud, p.Cloud.RPS*0.8),
+		worker: worker.New(via, 3*time.Second, max(16, p.Limits.MaxSockets/4)),
 		links:  map[string]*peer.Link{}, work: make(chan func(), 512), redirects: map[string]time.Time{},
 	}
 	n.oplog = oplog.New(n.state, p.State.WriteRPS, p.State.ValueKB, p.State.TxnOps, logger)
 	for _, m := range set.Members {
-		n.links[m.Node] = peer.NewLink(m.Node, m.Addr, logger)
+		n.links[m.Node] = peer.NewLink(via, m.Node, m.Addr, logger)
 	}
 	n.reset()
 	return n
@@ -140,11 +141,11 @@
 
 // Run serves until the context ends.
 func (n *Node) Run(ctx context.Context) error {
-	ln, err := net.Listen("tcp", n.set.Bind)
+	ln, err := n.via.Listen(n.set.Bind)
 	if err != nil {
 		return err
 	}
-	pln, err := net.Listen("tcp", n.set.PeerListen)
+	pln, err := n.via.Listen(n.set.PeerListen)
 	if err != nil {
 		return err
 	}
@@ -170,6 +171,9 @@
 	duty("api", func() error { return api.Serve(ctx, ln, conns, api.Handler(n, n.log), n.log) })
 	n.log.Info("started", "node", n.set.Node, "zone", n.set.Zone, "bind", n.set.Bind, "pid", os.Getpid())
 	<-ctx.Done()
+	n.state.Close()
+	n.cloud.Close()
+	n.worker.Close()
 	return context.Cause(ctx)
 }
 
--- /dev/null
+++ b/internal/controller/world_test.go
@@ -0,0 +1,361 @@
+package controller
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+	"math/rand/v2"
+	"os"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"fieldhill/internal/config"
+	"fieldhill/internal/standin"
+	"fieldhill/wire"
+)
+
+// These tests run whole deployments in virtual time: three real controllers
+// among stand-ins, with a referee that reads the rules plainly.
+
+func controller(t *testing.T) standin.Controller {
+	var out io.Writer = io.Discard
+	level := slog.LevelInfo
+	if os.Getenv("LOG_LEVEL") != "" {
+		out = os.Stderr
+		_ = level.UnmarshalText([]byte(os.Getenv("LOG_LEVEL")))
+	}
+	return func(ctx context.Context, h *standin.Host, s *config.Settings) error {
+		log := slog.New(slog.NewTextHandler(out, &slog.HandlerOptions{Level: level})).With("node", s.Node)
+		return New(h, s, Options{Beta: 0.8, Threshold: 0.5, WaitRounds: 2, Round: 2 * time.Second}, log).Run(ctx)
+	}
+}
+
+// inWorld runs f in a world with started nodes and then demands that no rule was broken.
+func inWorld(t *testing.T, seed uint64, f func(w *standin.World)) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, stop := context.WithCancel(context.Background())
+		w := standin.New(ctx, 3, seed, controller(t))
+		for i := range 3 {
+			w.Start(i)
+		}
+		f(w)
+		over, accepted := w.Referee.Finished()
+		writes, keys := w.State.Load()
+		t.Logf("%d starts, %d jobs accepted, %d over; %d writes, at most %d keys", w.Referee.Starts(), accepted, over, writes, keys)
+		for _, b := range w.Referee.Broken() {
+			t.Error(b)
+		}
+		stop()
+		time.Sleep(time.Minute) // everything ends
+		synctest.Wait()
+	})
+}
+
+func spec(n int, shape string, tasks int, run float64) *wire.JobSpec {
+	return &wire.JobSpec{ID: wire.JobID(uint64(n)), Class: "batch", Team: "red", Shape: shape, Priority: wire.Low, Tasks: tasks, CPUs: 1,
+		MemoryGB: 2, Image: "img", ImageGB: 1, EstimateS: run}
+}
+
+// waitFor polls a job until it is in a state.
+func waitFor(t *testing.T, w *standin.World, id, state string, within time.Duration) {
+	t.Helper()
+	end := time.Now().Add(within)
+	for {
+		if code, s := w.Call("poll", id, nil); code == 200 && s.State == state {
+			return
+		}
+		if time.Now().After(end) {
+			t.Errorf("%s is not %s after %v", id, state, within)
+			return
+		}
+		time.Sleep(500 * time.Millisecond)
+	}
+}
+
+func TestQuietDay(t *testing.T) {
+	inWorld(t, 1, func(w *standin.World) {
+		time.Sleep(6 * time.Second)
+		if c := w.Submit(spec(1, wire.Array, 12, 5)); c != 201 {
+			t.Errorf("submission got %d", c)
+		}
+		g := spec(2, wire.Gang, 3, 8)
+		g.SameZone = true
+		w.Submit(g)
+		s := spec(3, wire.Service, 3, 0)
+		s.Priority, s.Spread, s.Class = wire.Production, true, "web"
+		w.Submit(s)
+		bad := spec(4, wire.Array, 1, 5)
+		bad.Team = "green"
+		if c := w.Submit(bad); c != 422 {
+			t.Errorf("a job of an unknown team got %d", c)
+		}
+		big := spec(5, wire.Gang, 30, 5)
+		if c := w.Submit(big); c != 422 {
+			t.Errorf("a gang over its team's limit got %d", c)
+		}
+		if c, _ := w.Call("poll", "req-777777", nil); c != 404 {
+			t.Errorf("an unknown job got %d", c)
+		}
+		waitFor(t, w, "req-000001", wire.JobDone, time.Minute)
+		waitFor(t, w, "req-000002", wire.JobDone, time.Minute)
+		waitFor(t, w, "req-000003", wire.JobRunning, time.Minute)
+		if n := w.Referee.Running("req-000003"); n != 3 {
+			t.Errorf("%d replicas run", n)
+		}
+		if c := w.Cancel("req-000003"); c != 200 {
+			t.Errorf("the cancellation got %d", c)
+		}
+		time.Sleep(5 * time.Second)
+		if n := w.Referee.Running("req-000003"); n != 0 {
+			t.Errorf("%d replicas run after the cancellation", n)
+		}
+		if c := w.Submit(spec(1, wire.Array, 12, 5)); c != 200 {
+			t.Errorf("a late repeat got %d", c)
+		}
+		time.Sleep(2 * time.Minute)
+		if up := len(w.Cloud.Up()); up > 2 {
+			t.Errorf("%d machines are kept for nothing", up)
+		}
+	})
+}
+
+// TestAllControllersLost: a job that was accepted runs although every process
+// that knew of it is gone, and a final state is kept.
+func TestAllControllersLost(t *testing.T) {
+	inWorld(t, 2, func(w *standin.World) {
+		time.Sleep(6 * time.Second)
+		w.Submit(spec(1, wire.Array, 6, 4))
+		waitFor(t, w, "req-000001", wire.JobDone, time.Minute)
+		w.Submit(spec(2, wire.Array, 20, 15))
+		time.Sleep(10 * time.Second)
+		for i := range 3 {
+			w.Crash(i)
+		}
+		time.Sleep(5 * time.Second)
+		for i := range 3 {
+			w.Start(i)
+		}
+		waitFor(t, w, "req-000001", wire.JobDone, 30*time.Second)
+		waitFor(t, w, "req-000002", wire.JobDone, 3*time.Minute)
+	})
+}
+
+// TestStateOutage: running work stays alive while the state service is down for
+// most of a worker's lease, and no submission is held back meanwhile.
+func TestStateOutage(t *testing.T) {
+	inWorld(t, 3, func(w *standin.World) {
+		time.Sleep(6 * time.Second)
+		s := spec(1, wire.Service, 4, 0)
+		s.Priority, s.Class = wire.Production, "web"
+		w.Submit(s)
+		waitFor(t, w, "req-000001", wire.JobRunning, time.Minute)
+		time.Sleep(5 * time.Second)
+		w.State.SetOutage(true)
+		time.Sleep(5 * time.Second)
+		starts := w.Referee.Starts()
+		j := spec(2, wire.Array, 1, 1)
+		w.Referee.Know(j)
+		b, _ := wire.Marshal(j)
+		began := time.Now()
+		if code, _ := w.Call("submit", j.ID, b); code != 503 || time.Since(began) > 300*time.Millisecond {
+			t.Errorf("a submission during the outage got %d after %v", code, time.Since(began))
+		}
+		time.Sleep(17 * time.Second)
+		w.State.SetOutage(false)
+		time.Sleep(30 * time.Second)
+		if w.Referee.Starts() != starts || w.Referee.Running("req-000001") != 4 {
+			t.Errorf("%d replicas run, %d tasks were started anew", w.Referee.Running("req-000001"), w.Referee.Starts()-starts)
+		}
+		if c := w.Submit(j); c != 201 && c != 200 {
+			t.Errorf("the submission got %d after the outage", c)
+		}
+	})
+}
+
+// TestHungMachine: tasks of a machine that says nothing run elsewhere once it is
+// evidently gone, and a machine that returns does not run them twice.
+func TestHungMachine(t *testing.T) {
+	inWorld(t, 4, func(w *standin.World) {
+		time.Sleep(6 * time.Second)
+		w.Submit(spec(1, wire.Array, 16, 25))
+		waitFor(t, w, "req-000001", wire.JobRunning, time.Minute)
+		time.Sleep(3 * time.Second)
+		for i, wk := range w.Cloud.Up() {
+			if i%2 == 0 {
+				wk.Hang(12 * time.Second)
+			}
+		}
+		waitFor(t, w, "req-000001", wire.JobDone, 3*time.Minute)
+	})
+}
+
+// TestFaultyMachine: a machine that fails whatever it starts gets no more work
+// and is returned; a job that fails everywhere harms nobody.
+func TestFaultyMachine(t *testing.T) {
+	inWorld(t, 5, func(w *standin.World) {
+		time.Sleep(6 * time.Second)
+		w.Submit(spec(1, wire.Array, 4, 3))
+		waitFor(t, w, "req-000001", wire.JobDone, time.Minute)
+		up := w.Cloud.Up()
+		if len(up) == 0 {
+			t.Fatal("no machine is up")
+		}
+		up[0].Sicken()
+		for n := 2; n < 6; n++ {
+			w.Submit(spec(n, wire.Array, 6, 4))
+		}
+		for n := 2; n < 6; n++ {
+			waitFor(t, w, wire.JobID(uint64(n)), wire.JobDone, 2*time.Minute)
+		}
+		for _, wk := range w.Cloud.Up() {
+			if wk == up[0] {
+				t.Errorf("the faulty machine is still rented")
+			}
+		}
+	})
+}
+
+// TestCutZone: workers that can't reach the leader, but another node, keep
+// running; a job cancelled meanwhile loses its tasks there in time.
+func TestCutZone(t *testing.T) {
+	inWorld(t, 6, func(w *standin.World) {
+		time.Sleep(6 * time.Second)
+		for n := 1; n <= 6; n++ {
+			s := spec(n, wire.Service, 2, 0)
+			s.Priority, s.Class, s.Spread = wire.Production, "web", true
+			w.Submit(s)
+		}
+		time.Sleep(40 * time.Second)
+		starts := w.Referee.Starts()
+		// Zone b holds node 1; nodes 0 and 2 are in zone a.
+		cut := func(apart bool) {
+			w.CutNode(0, 1, apart)
+			w.CutNode(1, 2, apart)
+			w.CutWorkers("b", 0, apart)
+			w.CutWorkers("b", 2, apart)
+			w.CutWorkers("a", 1, apart)
+		}
+		cut(true)
+		time.Sleep(10 * time.Second)
+		w.Cancel("req-000002")
+		time.Sleep(50 * time.Second)
+		cut(false)
+		time.Sleep(20 * time.Second)
+		if n := w.Referee.Running("req-000002"); n != 0 {
+			t.Errorf("%d replicas of the cancelled service run", n)
+		}
+		for n := 1; n <= 6; n++ {
+			if k := w.Referee.Running(wire.JobID(uint64(n))); n != 2 && k != 2 {
+				t.Errorf("%d replicas of service %d run", k, n)
+			}
+		}
+		t.Logf("%d tasks were started anew", w.Referee.Starts()-starts)
+	})
+}
+
+// TestRandomDays throws every failure at the service, at random but with fixed
+// seeds, and demands that the rules hold and that everything ends well.
+func TestRandomDays(t *testing.T) {
+	for seed := range uint64(8) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			inWorld(t, seed, func(w *standin.World) { randomDay(t, w, rand.New(rand.NewPCG(seed, 9))) })
+		})
+	}
+}
+
+func randomDay(t *testing.T, w *standin.World, rng *rand.Rand) {
+	w.Trouble(0.1, 20*time.Second)
+	time.Sleep(6 * time.Second)
+	n, up := 0, []bool{true, true, true}
+	var open []string
+	for range 60 {
+		for range rng.IntN(3) {
+			n++
+			s := spec(n, wire.Array, 1+rng.IntN(10), 2+10*rng.Float64())
+			switch rng.IntN(4) {
+			case 0:
+				s.Shape, s.Tasks, s.CheckpointS, s.SaveS, s.Priority = wire.Gang, 1+rng.IntN(3), 3, 1, wire.High
+				s.SameZone = rng.IntN(2) == 0
+			case 1:
+				s.Shape, s.Tasks, s.Spread, s.Class, s.Priority = wire.Service, 1+rng.IntN(3), true, "web", wire.Production
+			}
+			s.Spot = rng.IntN(2) == 0
+			if rng.IntN(2) == 0 {
+				s.Team = "blue"
+			}
+			s.CPUs = []float64{0.5, 1, 2}[rng.IntN(3)]
+			s.Image = fmt.Sprint("img-", rng.IntN(3))
+			if rng.IntN(4) == 0 {
+				s.Types = []string{"large"}
+			}
+			open = append(open, s.ID)
+			w.Referee.Know(s)
+			go w.Submit(s)
+		}
+		for _, id := range open {
+			if rng.IntN(3) == 0 {
+				go w.Call("poll", id, nil)
+			}
+		}
+		if len(open) > 5 && rng.IntN(3) == 0 {
+			go w.Cancel(open[rng.IntN(len(open))])
+		}
+		i := rng.IntN(3)
+		switch rng.IntN(12) {
+		case 0, 1:
+			if up[i] {
+				w.Crash(i)
+			} else {
+				w.Start(i)
+			}
+			up[i] = !up[i]
+		case 2:
+			w.State.SetOutage(true)
+		case 3, 4:
+			w.State.SetOutage(false)
+		case 5:
+			if all := w.Cloud.Up(); len(all) > 0 {
+				all[rng.IntN(len(all))].Hang(time.Duration(rng.IntN(40)) * time.Second)
+			}
+		case 6:
+			if all := w.Cloud.Up(); len(all) > 0 {
+				w.Cloud.Take(all[rng.IntN(len(all))].Name)
+			}
+		case 7:
+			w.CutNode(i, (i+1)%3, true)
+			w.CutWorkers("b", i, true)
+		case 8, 9:
+			for k := range 3 {
+				w.CutNode(k, (k+1)%3, false)
+				w.CutWorkers("b", k, false)
+			}
+		}
+		time.Sleep(time.Duration(rng.IntN(8000)) * time.Millisecond)
+	}
+	w.Trouble(0, 0)
+	w.State.SetOutage(false)
+	for k := range 3 {
+		w.CutNode(k, (k+1)%3, false)
+		w.CutWorkers("b", k, false)
+		if !up[k] {
+			w.Start(k)
+		}
+	}
+	time.Sleep(90 * time.Second)
+	for _, id := range open {
+		w.Cancel(id)
+	}
+	time.Sleep(60 * time.Second)
+	for _, id := range open {
+		// A job that no node could take for a minute was never accepted; the
+		// referee knows the difference.
+		if code, s := w.Call("poll", id, nil); code != 404 && (code != 200 || s.State != wire.JobDone && s.State != wire.JobCancelled) {
+			t.Errorf("%s: %d %+v", id, code, s)
+		}
+		if k := w.Referee.Running(id); k != 0 {
+			t.Errorf("%s has %d tasks left", id, k)
+		}
+	}
+}
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -53,6 +53,7 @@
 	types    []int32
 	zone     int32
 	spot     bool
+	spread   bool
 	imageGB  float64
 	seen     int
 	burst    float64 // largest job
@@ -163,6 +164,7 @@
 		f.classes[j.Class] = c
 	}
 	c.kind, c.need, c.types, c.zone, c.spot = j.Kind, sched.Need(j), j.Types, j.Zone, j.Spec.Spot
+	c.spread = j.Spec.Spread
 	c.imageGB = max(j.Spec.ImageGB, 0.8*c.imageGB)
 	c.seen++
 	c.tasks += (float64(len(j.Tasks)) - c.tasks) * 0.1
@@ -198,10 +200,14 @@
 	spot    bool
 	count   int
 	job     *model.Job
-	standby bool // room to keep free, not work
+	perZone int           // how many may go to one zone; 0: any number
+	inZone  map[int32]int // how many are there already
 }
 
 func (it *item) allows(o Offer) bool {
+	if it.perZone > 0 && it.inZone[o.Zone] >= it.perZone {
+		return false
+	}
 	if o.Spot && !it.spot || it.zone >= 0 && it.zone != o.Zone {
 		return false
 	}
@@ -216,6 +222,28 @@
 	return false
 }
 
+func (it *item) put(s *slot) {
+	s.free = s.free.Minus(it.need)
+	s.used = true
+	if it.inZone != nil {
+		it.inZone[s.offer.Zone]++
+	}
+}
+
+// spread makes an item keep its job's spread over zones: without it a second
+// replica would count on room in a zone where it may not go.
+func (it *item) spread(j *model.Job) {
+	if !j.Spec.Spread || len(j.Tasks) < 2 {
+		return
+	}
+	it.perZone, it.inZone = (len(j.Tasks)+1)/2, map[int32]int{}
+	for i := range j.Tasks {
+		if r := j.Tasks[i].Run; r != nil {
+			it.inZone[r.Machine.Zone]++
+		}
+	}
+}
+
 // Plan looks at demand and machines.
 func (f *Fleet) Plan(m *model.Model, now model.Time) Plan {
 	jobs := m.JobsInOrder()
@@ -297,6 +325,7 @@
 		}
 		n = min(n, teamRoom(j))
 		it := item{need: sched.Need(j), types: j.Types, zone: j.Zone, spot: j.Spec.Spot, count: n, job: j}
+		it.spread(j)
 		if j.Kind != model.Array {
 			urgent = append(urgent, it)
 			continue
@@ -340,7 +369,11 @@
 			continue
 		}
 		if k := int(math.Ceil(n)); k > 0 {
-			standby = append(standby, item{need: c.need, types: c.types, zone: c.zone, spot: c.spot && c.kind != model.Service, count: k, standby: true})
+			it := item{need: c.need, types: c.types, zone: c.zone, spot: c.spot && c.kind != model.Service, count: k}
+			if c.spread && k > 1 {
+				it.perZone, it.inZone = k/2+1, map[int32]int{}
+			}
+			standby = append(standby, it)
 		}
 	}
 	return append(append(urgent, standby...), low...), headroom
@@ -415,9 +448,8 @@
 			if pass == 1 && !s.used {
 				continue
 			}
-			for left > 0 && s.free.Holds(it.need) {
-				s.free = s.free.Minus(it.need)
-				s.used = true
+			for left > 0 && s.free.Holds(it.need) && it.allows(s.offer) {
+				it.put(s)
 				left--
 			}
 		}
@@ -430,8 +462,8 @@
 		t := &m.Types[o.Type]
 		total := sched.Room{CPUs: t.CPUs, GPUs: t.GPUs, Mem: t.MemoryGB}
 		s := &slot{offer: o, total: total, free: total, used: true, wish: true}
-		for left > 0 && s.free.Holds(it.need) {
-			s.free = s.free.Minus(it.need)
+		for left > 0 && s.free.Holds(it.need) && it.allows(o) {
+			it.put(s)
 			left--
 		}
 		*slots = append(*slots, s)
@@ -469,9 +501,6 @@
 			continue
 		}
 		for _, z := range t.ZoneIDs {
-			if it.job != nil && !it.job.ZoneAllows(z) {
-				continue
-			}
 			for _, spot := range []bool{false, true} {
 				o := Offer{int32(i), z, spot}
 				if !it.allows(o) || f.refused[o].until > now {
--- a/internal/mphttp/mphttp.go
+++ b/internal/mphttp/mphttp.go
@@ -12,6 +12,7 @@
 	"net/http"
 	"time"
 
+	"fieldhill/internal/host"
 	"fieldhill/wire"
 )
 
@@ -34,21 +35,30 @@
 
 // Unsent tells whether a request surely never left: no connection was made.
 func Unsent(err error) bool {
-	var op *net.OpError
-	return errors.As(err, &op) && op.Op == "dial"
+	var u unsent
+	return errors.As(err, &u)
 }
 
+// unsent marks the error of a connection that was not made.
+type unsent struct{ error }
+
 // Client talks to hosts over connections that are kept.
 type Client struct {
 	http *http.Client
 }
 
 // New makes a client that keeps up to perHost connections to a host.
-func New(perHost, total int, dial time.Duration) *Client {
-	d := &net.Dialer{Timeout: dial, KeepAlive: -1}
+func New(via host.Net, perHost, total int, dial time.Duration) *Client {
 	return &Client{http: &http.Client{
 		Transport: &http.Transport{
-			DialContext: d.DialContext, MaxIdleConns: total, MaxIdleConnsPerHost: perHost, MaxConnsPerHost: perHost,
+			DialContext: func(ctx context.Context, _, addr string) (net.Conn, error) {
+				c, err := via.Dial(ctx, addr, dial)
+				if err != nil {
+					err = unsent{err}
+				}
+				return c, err
+			},
+			MaxIdleConns: total, MaxIdleConnsPerHost: perHost, MaxConnsPerHost: perHost,
 			IdleConnTimeout: 2 * time.Minute, DisableCompression: true,
 			ReadBufferSize: 2 << 10, WriteBufferSize: 2 << 10, MaxResponseHeaderBytes: 8 << 10,
 		},
@@ -56,6 +66,9 @@
 	}}
 }
 
+// Close ends idle connections.
+func (c *Client) Close() { c.http.CloseIdleConnections() }
+
 // Do sends a request and decodes a 200 into out. Any other status is a
 // *StatusError; an error without a status means that the fate is unknown,
 // unless Unsent.
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -19,6 +19,7 @@
 	"time"
 
 	"fieldhill/internal/codec"
+	"fieldhill/internal/host"
 )
 
 const (
@@ -156,7 +157,11 @@
 	stop := context.AfterFunc(ctx, func() { c.Close() })
 	defer stop()
 	defer c.Close()
-	var mu sync.Mutex
+	out := make(chan []byte, maxPending)
+	go func() {
+		defer cancel()
+		writeAll(ctx, c, out)
+	}()
 	slots := make(chan struct{}, maxPending)
 	r := bufio.NewReaderSize(c, 4<<10)
 	for {
@@ -179,32 +184,47 @@
 		}
 		go func() {
 			defer func() { <-slots }()
-			b := appendFrame(nil, kindBack, id, appendReply(nil, h(ctx, call)))
-			mu.Lock()
-			defer mu.Unlock()
+			select {
+			case out <- appendFrame(nil, kindBack, id, appendReply(nil, h(ctx, call))):
+			case <-ctx.Done():
+			}
+		}()
+	}
+}
+
+// writeAll writes frames until the context ends or the other side stops taking
+// them. Nobody else writes to the connection, so that nobody waits with a lock
+// in hand for a peer that has stopped reading.
+func writeAll(ctx context.Context, c net.Conn, out <-chan []byte) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case b := <-out:
 			_ = c.SetWriteDeadline(time.Now().Add(5 * time.Second))
 			if _, err := c.Write(b); err != nil {
-				cancel()
+				return
 			}
-		}()
+		}
 	}
 }
 
 // Link is the connection to one other controller. Run keeps it up.
 type Link struct {
 	Node, Addr string
+	via        host.Net
 	logger     *slog.Logger
 
 	mu      sync.Mutex
-	conn    net.Conn
+	out     chan []byte // nil: not connected
 	next    uint64
 	pending map[uint64]chan *Reply
 	heard   time.Time
 }
 
 // NewLink makes a link that is down.
-func NewLink(node, addr string, logger *slog.Logger) *Link {
-	return &Link{Node: node, Addr: addr, logger: logger, pending: map[uint64]chan *Reply{}}
+func NewLink(via host.Net, node, addr string, logger *slog.Logger) *Link {
+	return &Link{Node: node, Addr: addr, via: via, logger: logger, pending: map[uint64]chan *Reply{}}
 }
 
 // Heard tells when the other side last answered anything.
@@ -218,8 +238,7 @@
 func (l *Link) Run(ctx context.Context) {
 	const pingEvery = 500 * time.Millisecond
 	for ctx.Err() == nil {
-		d := net.Dialer{Timeout: time.Second, KeepAlive: -1}
-		c, err := d.DialContext(ctx, "tcp", l.Addr)
+		c, err := l.via.Dial(ctx, l.Addr, time.Second)
 		if err == nil {
 			l.use(ctx, c, pingEvery)
 		}
@@ -239,10 +258,15 @@
 	defer cancel()
 	stop := context.AfterFunc(ctx, func() { c.Close() })
 	defer stop()
+	out := make(chan []byte, 64)
 	l.mu.Lock()
-	l.conn = c
+	l.out = out
 	l.mu.Unlock()
 	defer l.drop(c)
+	go func() {
+		defer cancel()
+		writeAll(ctx, c, out)
+	}()
 	go func() {
 		defer cancel()
 		t := time.NewTicker(pingEvery)
@@ -290,7 +314,7 @@
 func (l *Link) drop(c net.Conn) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.conn = nil
+	l.out = nil
 	l.heard = time.Time{}
 	for id, ch := range l.pending {
 		close(ch)
@@ -304,21 +328,21 @@
 func (l *Link) Call(ctx context.Context, c *Call) (*Reply, error) {
 	ch := make(chan *Reply, 1)
 	l.mu.Lock()
-	if l.conn == nil || len(l.pending) >= maxPending {
+	if l.out == nil || len(l.pending) >= maxPending {
 		l.mu.Unlock()
 		return nil, ErrDown
 	}
 	l.next++
 	id := l.next
 	l.pending[id] = ch
-	conn := l.conn
-	_ = conn.SetWriteDeadline(time.Now().Add(2 * time.Second))
-	_, err := conn.Write(appendFrame(nil, kindCall, id, appendCall(nil, c)))
-	l.mu.Unlock()
-	if err != nil {
-		conn.Close()
-		return nil, err
+	select {
+	case l.out <- appendFrame(nil, kindCall, id, appendCall(nil, c)):
+	default:
+		delete(l.pending, id)
+		l.mu.Unlock()
+		return nil, ErrDown
 	}
+	l.mu.Unlock()
 	select {
 	case a, ok := <-ch:
 		if !ok {
--- /dev/null
+++ b/internal/standin/net.go
@@ -0,0 +1,160 @@
+// Package standin plays the outside world for tests: a network in memory, the
+// state service, the cloud, workers and users. It works in virtual time, and it
+// delays, loses, reorders and refuses as the protocol allows. A referee watches
+// every task and keeps a list of broken rules; it is a slow, plain reading of
+// the protocol and shares no logic with the service.
+package standin
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"sync"
+	"time"
+)
+
+// Network connects hosts in memory.
+type Network struct {
+	mu    sync.Mutex
+	ports map[string]*listener
+	down  map[string]bool // addresses whose host is without power: nothing answers
+	cut   map[[2]string]bool
+	conns map[net.Conn]string
+}
+
+// NewNetwork makes an empty network.
+func NewNetwork() *Network {
+	return &Network{ports: map[string]*listener{}, down: map[string]bool{}, cut: map[[2]string]bool{}, conns: map[net.Conn]string{}}
+}
+
+type listener struct {
+	net  *Network
+	addr string
+	ch   chan net.Conn
+	done chan struct{}
+	once sync.Once
+}
+
+type addr string
+
+func (addr) Network() string  { return "mem" }
+func (a addr) String() string { return string(a) }
+
+func (l *listener) Accept() (net.Conn, error) {
+	select {
+	case c := <-l.ch:
+		return c, nil
+	case <-l.done:
+		return nil, net.ErrClosed
+	}
+}
+
+func (l *listener) Close() error {
+	l.once.Do(func() {
+		close(l.done)
+		for {
+			select {
+			case c := <-l.ch: // never accepted
+				c.Close()
+				continue
+			default:
+			}
+			break
+		}
+		l.net.mu.Lock()
+		if l.net.ports[l.addr] == l {
+			delete(l.net.ports, l.addr)
+		}
+		l.net.mu.Unlock()
+	})
+	return nil
+}
+
+func (l *listener) Addr() net.Addr { return addr(l.addr) }
+
+// Host is the network as one host sees it.
+type Host struct {
+	net  *Network
+	name string
+}
+
+// Host returns the view of a host.
+func (n *Network) Host(name string) *Host { return &Host{n, name} }
+
+// Listen listens on an address.
+func (h *Host) Listen(a string) (net.Listener, error) {
+	h.net.mu.Lock()
+	defer h.net.mu.Unlock()
+	if h.net.ports[a] != nil {
+		return nil, errors.New("address in use")
+	}
+	l := &listener{net: h.net, addr: a, ch: make(chan net.Conn, 16), done: make(chan struct{})}
+	h.net.ports[a] = l
+	return l, nil
+}
+
+// Dial connects to an address. Behind a cut, or to a host without power, it
+// hangs until the timeout.
+func (h *Host) Dial(ctx context.Context, a string, timeout time.Duration) (net.Conn, error) {
+	time.Sleep(time.Millisecond)
+	h.net.mu.Lock()
+	l := h.net.ports[a]
+	mute := h.net.down[a] || h.net.cut[[2]string{h.name, a}]
+	h.net.mu.Unlock()
+	if mute {
+		t := time.NewTimer(timeout)
+		defer t.Stop()
+		select {
+		case <-t.C:
+			return nil, errors.New("timeout")
+		case <-ctx.Done():
+			return nil, ctx.Err()
+		}
+	}
+	if l == nil {
+		return nil, errors.New("connection refused")
+	}
+	client, server := net.Pipe()
+	h.net.mu.Lock()
+	h.net.conns[client] = h.name + ">" + a
+	h.net.mu.Unlock()
+	select {
+	case l.ch <- server:
+		return client, nil
+	case <-l.done:
+		return nil, errors.New("connection refused")
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+}
+
+// Cut parts a host from an address, or joins them; open connections between
+// them are reset when they part.
+func (n *Network) Cut(host, a string, apart bool) {
+	n.mu.Lock()
+	n.cut[[2]string{host, a}] = apart
+	var reset []net.Conn
+	for c, who := range n.conns {
+		if apart && who == host+">"+a {
+			reset = append(reset, c)
+			delete(n.conns, c)
+		}
+	}
+	n.mu.Unlock()
+	for _, c := range reset {
+		c.Close()
+	}
+}
+
+func dialer(h *Host) func(context.Context, string, string) (net.Conn, error) {
+	return func(ctx context.Context, _, a string) (net.Conn, error) { return h.Dial(ctx, a, 500*time.Millisecond) }
+}
+
+func readerOf(b []byte) io.Reader {
+	if b == nil {
+		return nil
+	}
+	return bytes.NewReader(b)
+}
--- /dev/null
+++ b/internal/standin/referee.go
@@ -0,0 +1,234 @@
+package standin
+
+import (
+	"fmt"
+	"sync"
+	"time"
+
+	"fieldhill/wire"
+)
+
+// Referee sees every task that is on a machine and every answer to a user, and
+// notes each broken rule.
+type Referee struct {
+	mu      sync.Mutex
+	limits  map[string][2]float64 // team: CPUs, GPUs at most
+	cancelS time.Duration
+	jobs    map[uint64]*truth
+	on      map[string]map[string]bool // task: machines where it has its image and is not gone
+	broken  []string
+	starts  int
+}
+
+type truth struct {
+	spec      *wire.JobSpec
+	accepted  bool
+	done      map[int]bool
+	told      string
+	asked     bool // its user asked to cancel it
+	cancelled time.Time
+	zones     map[int]string // where each task is
+}
+
+// NewReferee makes a referee for teams' limits.
+func NewReferee(limits map[string][2]float64, cancel time.Duration) *Referee {
+	return &Referee{limits: limits, cancelS: cancel, jobs: map[uint64]*truth{}, on: map[string]map[string]bool{}}
+}
+
+func (f *Referee) broke(rule, format string, args ...any) {
+	f.broken = append(f.broken, time.Now().Format("15:04:05.000 ")+rule+": "+fmt.Sprintf(format, args...))
+}
+
+// Know tells the referee of a job that a user begins to submit.
+func (f *Referee) Know(s *wire.JobSpec) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	n, _ := wire.JobNumber(s.ID)
+	if f.jobs[n] != nil {
+		return // a repeat
+	}
+	f.jobs[n] = &truth{spec: s, done: map[int]bool{}, zones: map[int]string{}}
+}
+
+// Spec finds a job, as workers do.
+func (f *Referee) Spec(n uint64) *wire.JobSpec {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if t := f.jobs[n]; t != nil {
+		return t.spec
+	}
+	return nil
+}
+
+// Start notes that a task has its image on a machine.
+func (f *Referee) Start(task string, mc *Worker) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.starts++
+	n, k, _ := wire.ParseTaskID(task)
+	t := f.jobs[n]
+	if t == nil {
+		f.broke("invented", "%s starts, nobody submitted it", task)
+		return
+	}
+	if len(f.on[task]) > 0 {
+		f.broke("ran_twice", "%s starts on %s and is on %v", task, mc.Name, f.on[task])
+	}
+	if f.on[task] == nil {
+		f.on[task] = map[string]bool{}
+	}
+	s := t.spec
+	okType := s.Types == nil
+	for _, x := range s.Types {
+		okType = okType || x == mc.Type
+	}
+	same, other := 0, 0
+	for i, z := range t.zones {
+		if i == k {
+			continue
+		}
+		if z == mc.Zone {
+			same++
+		} else {
+			other++
+		}
+	}
+	if !okType || s.Zone != nil && *s.Zone != mc.Zone || mc.Spot && !s.Spot || s.SameZone && other > 0 ||
+		s.Spread && same+1 > (s.Tasks+1)/2 {
+		f.broke("wrong_place", "%s on %s (%s, %s, spot %v) with %d there and %d elsewhere", task, mc.Name, mc.Type, mc.Zone, mc.Spot, same, other)
+	}
+	if !t.cancelled.IsZero() && time.Since(t.cancelled) > f.cancelS {
+		f.broke("ran_cancelled", "%s starts %v after its cancellation", task, time.Since(t.cancelled))
+	}
+	f.on[task][mc.Name] = true
+	t.zones[k] = mc.Zone
+	var cpus, gpus float64
+	for other, where := range f.on {
+		if o, _, _ := wire.ParseTaskID(other); f.jobs[o].spec.Team == s.Team {
+			cpus += f.jobs[o].spec.CPUs * float64(len(where))
+			gpus += f.jobs[o].spec.GPUs * float64(len(where))
+		}
+	}
+	if l := f.limits[s.Team]; cpus > l[0]+1e-9 && l[0] > 0 || gpus > l[1]+1e-9 && l[1] > 0 {
+		f.broke("quota", "%s uses %g CPUs and %g GPUs", s.Team, cpus, gpus)
+	}
+}
+
+// Gone notes that a task is off a machine.
+func (f *Referee) Gone(task string, mc *Worker, done bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	n, k, _ := wire.ParseTaskID(task)
+	t := f.jobs[n]
+	if t == nil {
+		return
+	}
+	delete(f.on[task], mc.Name)
+	if len(f.on[task]) == 0 {
+		delete(f.on, task)
+		delete(t.zones, k)
+	}
+	if done {
+		t.done[k] = true
+	}
+}
+
+// Check looks for tasks of cancelled jobs that are still there.
+func (f *Referee) Check() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for task, where := range f.on {
+		n, _, _ := wire.ParseTaskID(task)
+		if t := f.jobs[n]; !t.cancelled.IsZero() && time.Since(t.cancelled) > f.cancelS {
+			f.broke("ran_cancelled", "%s is on %v %v after its cancellation", task, where, time.Since(t.cancelled))
+			t.cancelled = time.Now() // once is enough
+		}
+	}
+}
+
+// Asked notes that a user begins to ask for a cancellation.
+func (f *Referee) Asked(id string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	n, _ := wire.JobNumber(id)
+	if t := f.jobs[n]; t != nil {
+		t.asked = true
+	}
+}
+
+// Told notes an answer that a user got: of a submission, a poll or a cancellation.
+func (f *Referee) Told(id string, what string, code int, s *wire.JobStatus) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	n, _ := wire.JobNumber(id)
+	t := f.jobs[n]
+	switch {
+	case t == nil:
+		if code == 200 || code == 201 {
+			f.broke("invented", "%s of %s got %d", what, id, code)
+		}
+		return
+	case t.accepted && (code == 404 || what == "submit" && (code == 400 || code == 422)):
+		f.broke("forgotten", "%s of %s got %d", what, id, code)
+	case code != 200 && code != 201:
+		return
+	}
+	if what == "submit" || what == "poll" {
+		t.accepted = true
+	}
+	if s.State == wire.JobDone && len(t.done) < t.spec.Tasks {
+		f.broke("not_done", "%s of %s says done, %d of %d are", what, id, len(t.done), t.spec.Tasks)
+	}
+	if t.told != "" && s.State != t.told {
+		f.broke("went_back", "%s was called %s and now %s", id, t.told, s.State)
+	}
+	if s.State == wire.JobCancelled && !t.asked {
+		f.broke("went_back", "%s is called cancelled, its user did not cancel it", id)
+	}
+	if s.State == wire.JobDone || s.State == wire.JobCancelled {
+		t.told = s.State
+	}
+	if s.State == wire.JobCancelled && t.cancelled.IsZero() {
+		t.cancelled = time.Now()
+	}
+}
+
+// Broken lists the broken rules.
+func (f *Referee) Broken() []string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return append([]string(nil), f.broken...)
+}
+
+// Starts counts the tasks that were started.
+func (f *Referee) Starts() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.starts
+}
+
+// Finished counts the jobs that were told to be over, and all that were accepted.
+func (f *Referee) Finished() (over, accepted int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, t := range f.jobs {
+		if t.accepted {
+			accepted++
+		}
+		if t.told != "" {
+			over++
+		}
+	}
+	return
+}
+
+// Running counts the tasks of a job that are on machines.
+func (f *Referee) Running(id string) int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	n, _ := wire.JobNumber(id)
+	if t := f.jobs[n]; t != nil {
+		return len(t.zones)
+	}
+	return 0
+}
--- /dev/null
+++ b/internal/standin/state.go
@@ -0,0 +1,363 @@
+package standin
+
+import (
+	"context"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"sort"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/vmihailenco/msgpack/v5"
+
+	"fieldhill/wire"
+)
+
+// State plays the state service.
+type State struct {
+	mu      sync.Mutex
+	rng     *rand.Rand
+	rev     uint64
+	keys    map[string]*entry
+	leases  map[uint64]*grant
+	nextID  uint64
+	history []change
+	changed chan struct{}
+	writes  int
+	most    int // most keys held at once
+
+	outage                  bool
+	loseAnswer, loseRequest float64       // chances that a transaction is applied, but not answered; that it is neither
+	lateBy                  time.Duration // by how much an unanswered transaction may be applied late
+}
+
+type entry struct {
+	value msgpack.RawMessage
+	ver   uint64
+	lease uint64
+}
+
+type grant struct {
+	ttl   time.Duration
+	until time.Time
+}
+
+type change struct {
+	key   string
+	value msgpack.RawMessage // nil: deleted
+	ver   uint64
+}
+
+// NewState makes an empty service.
+func NewState(seed uint64) *State {
+	return &State{rng: rand.New(rand.NewPCG(seed, 1)), keys: map[string]*entry{}, leases: map[uint64]*grant{}, changed: make(chan struct{})}
+}
+
+// SetOutage begins or ends an outage; at its end all leases have their full time.
+func (s *State) SetOutage(on bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.expire()
+	s.outage = on
+	for _, g := range s.leases {
+		g.until = time.Now().Add(g.ttl)
+	}
+}
+
+// Load tells how many changes were asked for, and the most keys held at once.
+func (s *State) Load() (writes, keys int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.writes, s.most
+}
+
+func (s *State) expire() {
+	if s.outage {
+		return
+	}
+	now := time.Now()
+	for id, g := range s.leases {
+		if now.After(g.until) {
+			s.end(id)
+		}
+	}
+}
+
+func (s *State) end(id uint64) {
+	delete(s.leases, id)
+	var gone []string
+	for k, e := range s.keys {
+		if e.lease == id {
+			gone = append(gone, k)
+		}
+	}
+	sort.Strings(gone)
+	if len(gone) > 0 {
+		s.rev++
+	}
+	for _, k := range gone {
+		s.change(k, nil, 0)
+	}
+}
+
+func (s *State) change(key string, value msgpack.RawMessage, lease uint64) {
+	if value == nil {
+		delete(s.keys, key)
+	} else {
+		s.keys[key] = &entry{value, s.rev, lease}
+	}
+	s.most = max(s.most, len(s.keys))
+	s.history = append(s.history, change{key, value, s.rev})
+	if len(s.history) > 10000 {
+		s.history = s.history[1:]
+	}
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+// Serve runs it until the context ends.
+func (s *State) Serve(ctx context.Context, h *Host, a string) {
+	ln, err := h.Listen(a)
+	if err != nil {
+		panic(err)
+	}
+	go func() {
+		t := time.NewTicker(50 * time.Millisecond)
+		defer t.Stop()
+		for {
+			select {
+			case <-ctx.Done():
+				return
+			case <-t.C:
+				s.mu.Lock()
+				s.expire()
+				s.mu.Unlock()
+			}
+		}
+	}()
+	serve(ctx, ln, http.HandlerFunc(s.handle))
+}
+
+// serve answers on a listener until the context ends.
+func serve(ctx context.Context, ln interface {
+	Close() error
+}, h http.Handler) {
+	srv := &http.Server{Handler: h}
+	l := ln.(*listener)
+	go func() { _ = srv.Serve(l) }()
+	go func() { <-ctx.Done(); srv.Close() }()
+}
+
+func answer(w http.ResponseWriter, code int, v any) {
+	b, err := wire.Marshal(v)
+	if err != nil {
+		panic(err)
+	}
+	w.WriteHeader(code)
+	_, _ = w.Write(b)
+}
+
+type m = map[string]any
+
+func (s *State) handle(w http.ResponseWriter, r *http.Request) {
+	time.Sleep(3 * time.Millisecond)
+	body, _ := io.ReadAll(r.Body)
+	s.mu.Lock()
+	if s.outage && r.URL.Path != wire.PathFollow {
+		s.mu.Unlock()
+		answer(w, 503, m{"error": "trouble"})
+		return
+	}
+	s.mu.Unlock()
+	q := r.URL.Query()
+	switch {
+	case r.URL.Path == wire.PathKeys:
+		limit, _ := strconv.Atoi(q.Get("most"))
+		answer(w, 200, s.list(q.Get("starts"), q.Get("after"), limit))
+	case strings.HasPrefix(r.URL.Path, wire.PathKeys+"/"):
+		s.mu.Lock()
+		e := s.keys[strings.TrimPrefix(r.URL.Path, wire.PathKeys+"/")]
+		rev := s.rev
+		s.mu.Unlock()
+		if e == nil {
+			answer(w, 404, m{"ledger": rev})
+			return
+		}
+		answer(w, 200, m{"key": "k", "value": e.value, "stamp": e.ver, "permit": e.lease})
+	case r.URL.Path == wire.PathTxn:
+		s.txn(w, body)
+	case r.URL.Path == wire.PathFollow:
+		s.follow(w, r)
+	default:
+		s.lease(w, r, body)
+	}
+}
+
+func (s *State) list(prefix, after string, limit int) m {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var names []string
+	for k := range s.keys {
+		if strings.HasPrefix(k, prefix) && k > after {
+			names = append(names, k)
+		}
+	}
+	sort.Strings(names)
+	items := []m{}
+	for _, k := range names[:min(len(names), min(limit, 50))] { // small pages, to have them tested
+		items = append(items, m{"key": k, "value": s.keys[k].value, "stamp": s.keys[k].ver})
+	}
+	return m{"items": items, "truncated": len(items) < len(names), "ledger": s.rev}
+}
+
+type rawTxn struct {
+	If   []wire.Guard `msgpack:"guards"`
+	Then []struct {
+		Put    string             `msgpack:"put"`
+		Value  msgpack.RawMessage `msgpack:"value"`
+		Lease  uint64             `msgpack:"permit"`
+		Delete string             `msgpack:"delete"`
+	} `msgpack:"writes"`
+}
+
+func (s *State) txn(w http.ResponseWriter, body []byte) {
+	var t rawTxn
+	if err := wire.Unmarshal(body, &t); err != nil {
+		answer(w, 400, m{"error": err.Error()})
+		return
+	}
+	s.mu.Lock()
+	loseA, loseR, late := s.rng.Float64() < s.loseAnswer, s.rng.Float64() < s.loseRequest, time.Duration(s.rng.Float64()*float64(s.lateBy))
+	s.mu.Unlock()
+	if loseR {
+		panic(http.ErrAbortHandler)
+	}
+	if loseA {
+		go func() {
+			time.Sleep(late)
+			s.apply(&t)
+		}()
+		panic(http.ErrAbortHandler)
+	}
+	code, v := s.apply(&t)
+	answer(w, code, v)
+}
+
+func (s *State) apply(t *rawTxn) (int, m) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.outage {
+		return 503, m{"error": "trouble"}
+	}
+	s.expire()
+	s.writes += len(t.Then)
+	for _, p := range t.Then {
+		if p.Lease != 0 && s.leases[p.Lease] == nil {
+			return 400, m{"error": "no such lease"}
+		}
+	}
+	failed := []string{}
+	for _, g := range t.If {
+		var ver uint64
+		if e := s.keys[g.Key]; e != nil {
+			ver = e.ver
+		}
+		if ver != g.Version {
+			failed = append(failed, g.Key)
+		}
+	}
+	if len(failed) > 0 {
+		return 409, m{"failed": failed, "ledger": s.rev}
+	}
+	if len(t.Then) > 0 {
+		s.rev++
+	}
+	for _, p := range t.Then {
+		if p.Put != "" {
+			s.change(p.Put, p.Value, p.Lease)
+		} else if s.keys[p.Delete] != nil {
+			s.change(p.Delete, nil, 0)
+		}
+	}
+	return 200, m{"ledger": s.rev}
+}
+
+func (s *State) follow(w http.ResponseWriter, r *http.Request) {
+	q := r.URL.Query()
+	after, _ := strconv.ParseUint(q.Get("after"), 10, 64)
+	hold, _ := strconv.Atoi(q.Get("hold_ms"))
+	end := time.NewTimer(time.Duration(hold) * time.Millisecond)
+	defer end.Stop()
+	for {
+		s.mu.Lock()
+		if len(s.history) > 0 && s.history[0].ver > after+1 {
+			s.mu.Unlock()
+			answer(w, 410, m{})
+			return
+		}
+		news := []m{}
+		for _, c := range s.history {
+			if c.ver <= after || !strings.HasPrefix(c.key, q.Get("starts")) {
+				continue
+			}
+			if c.value == nil {
+				news = append(news, m{"delete": c.key, "stamp": c.ver})
+			} else {
+				news = append(news, m{"put": c.key, "value": c.value, "stamp": c.ver})
+			}
+		}
+		rev, changed, outage := s.rev, s.changed, s.outage
+		s.mu.Unlock()
+		if len(news) > 0 && !outage {
+			answer(w, 200, m{"ledger": rev, "news": news})
+			return
+		}
+		select {
+		case <-changed:
+		case <-end.C:
+			if outage {
+				end.Reset(100 * time.Millisecond)
+				continue
+			}
+			answer(w, 200, m{"ledger": rev, "news": news})
+			return
+		case <-r.Context().Done():
+			return
+		}
+	}
+}
+
+func (s *State) lease(w http.ResponseWriter, r *http.Request, body []byte) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.expire()
+	rest := strings.TrimPrefix(strings.TrimPrefix(r.URL.Path, wire.PathLeases), "/")
+	if rest == "" {
+		var a wire.LeaseAsk
+		if wire.Unmarshal(body, &a) != nil || a.TTLMillis < 100 {
+			answer(w, 400, m{})
+			return
+		}
+		s.nextID++
+		ttl := time.Duration(a.TTLMillis) * time.Millisecond
+		s.leases[s.nextID] = &grant{ttl, time.Now().Add(ttl)}
+		answer(w, 200, m{"permit": s.nextID})
+		return
+	}
+	idText, _, _ := strings.Cut(rest, "/")
+	id, _ := strconv.ParseUint(idText, 10, 64)
+	g := s.leases[id]
+	if g == nil {
+		answer(w, 404, m{})
+		return
+	}
+	if r.Method == "DELETE" {
+		s.end(id)
+	} else {
+		g.until = time.Now().Add(g.ttl)
+	}
+	answer(w, 200, m{})
+}
--- /dev/null
+++ b/internal/standin/world.go
@@ -0,0 +1,455 @@
+package standin
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"sort"
+	"sync"
+	"time"
+
+	"fieldhill/internal/config"
+	"fieldhill/internal/mphttp"
+	"fieldhill/wire"
+)
+
+// Controller runs a node until its context ends; tests pass the real one.
+type Controller func(ctx context.Context, h *Host, s *config.Settings) error
+
+// World is a deployment.
+type World struct {
+	Net     *Network
+	State   *State
+	Cloud   *Cloud
+	Referee *Referee
+	Params  config.Params
+
+	ctx                     context.Context
+	start                   Controller
+	nodes                   []*node
+	lease, report, gangWait time.Duration
+	fetch                   time.Duration
+	rng                     *rand.Rand
+	mu                      sync.Mutex
+	gangs                   map[string]map[string]bool // job and attempt: members that gathered
+	lateOrders              float64                    // chance that a direct command is executed only after its sender gave up
+	lateBy                  time.Duration
+	gangDone                map[string]bool
+	wg                      sync.WaitGroup
+}
+
+type node struct {
+	name, zone, bind, peers string
+	stop                    context.CancelFunc
+	done                    chan struct{}
+}
+
+// Params are settings for tests.
+func Params() config.Params {
+	return config.Params{
+		InitialSize: 3, Zones: []string{"a", "b"}, TimeBoundMS: 500,
+		Teams:      []config.Team{{Name: "red", CPUs: 16, CPUsMax: 24}, {Name: "blue", CPUs: 8, CPUsMax: 20}},
+		Objectives: []config.Objective{{Kind: "wait", Class: "web", WithinS: 2, Share: 0.9}},
+		Workers:    config.Workers{ReportS: 3, LeaseS: 24, GangWaitS: 40, GangPeerS: 5, CancelS: 49},
+		State:      config.State{RPS: 100, WriteRPS: 20, ValueKB: 8, TxnOps: 12},
+		Cloud:      config.Cloud{RPS: 8, ListLagS: 3},
+		Limits:     config.Limits{CPUShare: 0.5, MemoryMB: 179, MaxSockets: 2500},
+	}
+}
+
+// New makes a world with so many nodes, which are not started yet.
+func New(ctx context.Context, nodes int, seed uint64, start Controller) *World {
+	p := Params()
+	w := &World{
+		Net: NewNetwork(), State: NewState(seed), Params: p, ctx: ctx, start: start,
+		lease: config.Seconds(p.Workers.LeaseS), report: config.Seconds(p.Workers.ReportS), gangWait: config.Seconds(p.Workers.GangWaitS),
+		fetch: 1500 * time.Millisecond, rng: rand.New(rand.NewPCG(seed, 2)), gangs: map[string]map[string]bool{}, gangDone: map[string]bool{},
+	}
+	limits := map[string][2]float64{}
+	for _, t := range p.Teams {
+		limits[t.Name] = [2]float64{t.CPUsMax, t.GPUsMax}
+	}
+	w.Referee = NewReferee(limits, config.Seconds(p.Workers.CancelS))
+	w.Cloud = &Cloud{world: w, Machines: map[string]*Worker{}, hires: map[string][]string{}, boots: map[string]time.Time{}}
+	for i := range nodes {
+		w.nodes = append(w.nodes, &node{name: fmt.Sprintf("n%d", i), zone: p.Zones[i%len(p.Zones)],
+			bind: fmt.Sprintf("10.0.0.%d:80", i+1), peers: fmt.Sprintf("10.0.0.%d:81", i+1)})
+	}
+	w.State.Serve(ctx, w.Net.Host("state"), "10.2.0.1:1")
+	w.Cloud.serve(ctx)
+	go func() {
+		for ctx.Err() == nil {
+			time.Sleep(500 * time.Millisecond)
+			w.Referee.Check()
+		}
+	}()
+	return w
+}
+
+// Start starts a node.
+func (w *World) Start(i int) {
+	nd := w.nodes[i]
+	s := &config.Settings{Node: nd.name, Zone: nd.zone, Bind: nd.bind, PeerListen: nd.peers, Params: w.Params,
+		Endpoints: config.Endpoints{Cloud: "10.2.0.2:1", State: "10.2.0.1:1"}}
+	for _, o := range w.nodes {
+		if o != nd {
+			s.Members = append(s.Members, config.Member{Node: o.name, Zone: o.zone, Addr: o.peers})
+		}
+	}
+	ctx, stop := context.WithCancel(w.ctx)
+	done := make(chan struct{})
+	nd.stop, nd.done = stop, done
+	go func() {
+		defer close(done)
+		if err := w.start(ctx, w.Net.Host(nd.name), s); err != nil && ctx.Err() == nil {
+			panic(err)
+		}
+	}()
+}
+
+// Crash ends a node at once.
+func (w *World) Crash(i int) {
+	w.nodes[i].stop()
+	<-w.nodes[i].done
+}
+
+// Trouble sets the chance of each kind of lost answer and late execution, and
+// by how much things may be late.
+func (w *World) Trouble(p float64, late time.Duration) {
+	w.mu.Lock()
+	w.lateOrders, w.lateBy = p, late
+	w.mu.Unlock()
+	w.State.mu.Lock()
+	w.State.loseAnswer, w.State.loseRequest, w.State.lateBy = p/2, p/2, late/2
+	w.State.mu.Unlock()
+	w.Cloud.mu.Lock()
+	w.Cloud.loseAnswer = 2 * p
+	w.Cloud.mu.Unlock()
+}
+
+func (w *World) lateness() (bool, time.Duration) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.rng.Float64() < w.lateOrders, time.Duration(w.rng.Float64() * float64(w.lateBy))
+}
+
+// CutNode parts a node from another node, in both directions.
+func (w *World) CutNode(a, b int, apart bool) {
+	w.Net.Cut(w.nodes[a].name, w.nodes[b].peers, apart)
+	w.Net.Cut(w.nodes[b].name, w.nodes[a].peers, apart)
+}
+
+// CutWorkers parts the workers of a zone from a node.
+func (w *World) CutWorkers(zone string, node int, apart bool) {
+	for _, wk := range w.Cloud.Up() {
+		if wk.Zone == zone {
+			w.Net.Cut(wk.Name, w.nodes[node].bind, apart)
+			w.Net.Cut(w.nodes[node].name, wk.Addr, apart)
+		}
+	}
+}
+
+func (w *World) indexOf(name string, last int) int {
+	for i, n := range w.nodes {
+		if n.name == name && i != last%len(w.nodes) {
+			return i
+		}
+	}
+	return last + 1
+}
+
+func gangKey(task string, attempt uint64) string {
+	n, _, _ := wire.ParseTaskID(task)
+	return fmt.Sprint(n, "#", attempt)
+}
+
+func (w *World) gather(task string, attempt uint64, on string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	k := gangKey(task, attempt)
+	if w.gangs[k] == nil {
+		w.gangs[k] = map[string]bool{}
+	}
+	w.gangs[k][task] = true
+}
+
+func (w *World) leave(task string, attempt uint64, on string, done bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	k := gangKey(task, attempt)
+	if done {
+		w.gangDone[k] = true
+	}
+	delete(w.gangs[k], task)
+}
+
+func (w *World) complete(task string, attempt uint64, n int) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return len(w.gangs[gangKey(task, attempt)]) == n
+}
+
+func (w *World) finished(task string, attempt uint64) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.gangDone[gangKey(task, attempt)]
+}
+
+// Call sends a user's request to some node, as the load balancer would, and
+// tells the referee of the answer. It returns the status, 0 for none.
+func (w *World) Call(what, id string, body []byte) (int, *wire.JobStatus) {
+	w.mu.Lock()
+	i := w.rng.IntN(len(w.nodes))
+	w.mu.Unlock()
+	return w.CallAt(i, what, id, body)
+}
+
+// CallAt sends a user's request to a node.
+func (w *World) CallAt(i int, what, id string, body []byte) (int, *wire.JobStatus) {
+	h := w.Net.Host("user")
+	tr := &http.Transport{DialContext: dialer(h), DisableKeepAlives: true}
+	c := http.Client{Transport: tr, Timeout: 5 * time.Second}
+	defer tr.CloseIdleConnections()
+	method, path := "POST", wire.PathJobs
+	switch what {
+	case "poll":
+		method, path = "GET", wire.PathJobs+"/"+id
+	case "cancel":
+		w.Referee.Asked(id)
+		path = wire.PathJobs + "/" + id + wire.CancelSuffix
+	}
+	req, _ := http.NewRequest(method, "http://"+w.nodes[i].bind+path, readerOf(body))
+	resp, err := c.Do(req)
+	if err != nil {
+		return 0, nil
+	}
+	defer resp.Body.Close()
+	b, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return 0, nil
+	}
+	var s wire.JobStatus
+	if resp.StatusCode < 300 {
+		if err := wire.Unmarshal(b, &s); err != nil {
+			return 0, nil
+		}
+	}
+	w.Referee.Told(id, what, resp.StatusCode, &s)
+	return resp.StatusCode, &s
+}
+
+// Submit submits a job until it is accepted or refused for good, for up to a minute.
+func (w *World) Submit(s *wire.JobSpec) int {
+	w.Referee.Know(s)
+	b, err := wire.Marshal(s)
+	if err != nil {
+		panic(err)
+	}
+	return w.insist("submit", s.ID, b)
+}
+
+// Cancel cancels a job, insisting like Submit.
+func (w *World) Cancel(id string) int { return w.insist("cancel", id, nil) }
+
+func (w *World) insist(what, id string, b []byte) int {
+	code := 0
+	for range 60 {
+		if code, _ = w.Call(what, id, b); code == 200 || code == 201 || code == 400 || code == 422 || code == 404 {
+			return code
+		}
+		time.Sleep(time.Second)
+	}
+	return code
+}
+
+// Cloud plays the cloud.
+type Cloud struct {
+	world      *World
+	mu         sync.Mutex
+	Machines   map[string]*Worker
+	hires      map[string][]string
+	boots      map[string]time.Time
+	listed     []wire.ListedMachine
+	next       int
+	outage     bool
+	loseAnswer float64 // chance that a request is carried out and not answered
+}
+
+var types = []wire.MachineType{
+	{Name: "small", CPUs: 4, MemoryGB: 16, CacheGB: 20, FetchGBPerS: 1, Price: 1, SpotPrice: 0.4, BootS: 6, Zones: []string{"a", "b"}},
+	{Name: "large", CPUs: 16, MemoryGB: 64, CacheGB: 40, FetchGBPerS: 1, Price: 3, SpotPrice: 1, BootS: 8, Zones: []string{"a", "b"}},
+}
+
+func (c *Cloud) typ(name string) *wire.MachineType {
+	for i := range types {
+		if types[i].Name == name {
+			return &types[i]
+		}
+	}
+	return &wire.MachineType{}
+}
+
+// Up lists the workers of machines that exist.
+func (c *Cloud) Up() []*Worker {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var out []*Worker
+	for _, w := range c.Machines {
+		out = append(out, w)
+	}
+	sort.Slice(out, func(i, k int) bool { return out[i].Name < out[k].Name })
+	return out
+}
+
+func (c *Cloud) serve(ctx context.Context) {
+	ln, err := c.world.Net.Host("cloud").Listen("10.2.0.2:1")
+	if err != nil {
+		panic(err)
+	}
+	go func() { // the list lags
+		for ctx.Err() == nil {
+			time.Sleep(3 * time.Second)
+			c.mu.Lock()
+			c.listed = c.listed[:0:0]
+			for _, w := range c.Machines {
+				st := wire.MachineRunning
+				if time.Now().Before(c.boots[w.Name]) {
+					st = wire.MachineBooting
+				}
+				c.listed = append(c.listed, wire.ListedMachine{Name: w.Name, Addr: w.Addr, Type: w.Type, Zone: w.Zone, Spot: w.Spot, State: st})
+			}
+			sort.Slice(c.listed, func(i, k int) bool { return c.listed[i].Name < c.listed[k].Name })
+			c.mu.Unlock()
+		}
+	}()
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET "+wire.PathTypes, func(w http.ResponseWriter, r *http.Request) {
+		c.do(w, func() any { return &wire.MachineTypes{Types: types} })
+	})
+	mux.HandleFunc("GET "+wire.PathMachines, func(w http.ResponseWriter, r *http.Request) {
+		c.do(w, func() any {
+			l := &wire.MachineList{}
+			for _, x := range c.listed {
+				if x.Name > r.URL.Query().Get("after") {
+					if len(l.Machines) == 2 { // small pages, to have them tested
+						l.More = true
+						break
+					}
+					l.Machines = append(l.Machines, x)
+				}
+			}
+			return l
+		})
+	})
+	mux.HandleFunc("POST "+wire.PathMachines, func(w http.ResponseWriter, r *http.Request) {
+		var h wire.Hire
+		b, _ := io.ReadAll(r.Body)
+		if wire.Unmarshal(b, &h) != nil {
+			answer(w, 400, m{})
+			return
+		}
+		c.do(w, func() any {
+			if names, ok := c.hires[h.Request]; ok {
+				return &wire.MachineNames{Machines: names}
+			}
+			same := 0
+			for _, x := range c.Machines {
+				if x.Type == h.Type && x.Zone == h.Zone && x.Spot == h.Spot {
+					same++
+				}
+			}
+			n := min(h.Count, 4-same)
+			if n <= 0 {
+				return nil
+			}
+			var names []string
+			for range n {
+				names = append(names, c.boot(ctx, h.Type, h.Zone, h.Spot))
+			}
+			c.hires[h.Request] = names
+			return &wire.MachineNames{Machines: names}
+		})
+	})
+	mux.HandleFunc("POST "+wire.PathRelease, func(w http.ResponseWriter, r *http.Request) {
+		var names wire.MachineNames
+		b, _ := io.ReadAll(r.Body)
+		if wire.Unmarshal(b, &names) != nil {
+			answer(w, 400, m{})
+			return
+		}
+		c.do(w, func() any {
+			for _, n := range names.Machines {
+				if wk := c.Machines[n]; wk != nil {
+					delete(c.Machines, n)
+					wk.die()
+				}
+			}
+			return m{}
+		})
+	})
+	serve(ctx, ln, mux)
+}
+
+func (c *Cloud) do(w http.ResponseWriter, f func() any) {
+	time.Sleep(80 * time.Millisecond)
+	c.mu.Lock()
+	if c.outage {
+		c.mu.Unlock()
+		answer(w, 503, m{"error": "trouble"})
+		return
+	}
+	v := f()
+	lose := c.world.chance(c.loseAnswer)
+	c.mu.Unlock()
+	if lose {
+		panic(http.ErrAbortHandler)
+	}
+	if v == nil {
+		answer(w, 503, m{"error": "no capacity"})
+		return
+	}
+	answer(w, 200, v)
+}
+
+func (w *World) chance(p float64) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.rng.Float64() < p
+}
+
+func (c *Cloud) boot(ctx context.Context, typ, zone string, spot bool) string {
+	c.next++
+	name := fmt.Sprintf("host-%06d", c.next)
+	ctx, stop := context.WithCancel(ctx)
+	wk := &Worker{Name: name, Addr: fmt.Sprintf("10.1.0.%d:90", c.next), Type: typ, Zone: zone, Spot: spot, world: c.world,
+		rng: rand.New(rand.NewPCG(uint64(c.next), 3)), stop: stop, images: map[string]bool{}}
+	c.Machines[name] = wk
+	d := time.Duration(c.typ(typ).BootS * (0.6 + 0.9*wk.rng.Float64()) * 1e9)
+	c.boots[name] = time.Now().Add(d)
+	go func() {
+		select {
+		case <-ctx.Done():
+		case <-time.After(d):
+			wk.run(ctx)
+		}
+	}()
+	return name
+}
+
+// Take takes a machine away without notice.
+func (c *Cloud) Take(name string) {
+	c.mu.Lock()
+	wk := c.Machines[name]
+	delete(c.Machines, name)
+	c.mu.Unlock()
+	if wk != nil {
+		wk.die()
+	}
+}
+
+// Client is for tests that talk to a stand-in themselves.
+func (w *World) Client(name string) *mphttp.Client {
+	return mphttp.New(w.Net.Host(name), 1, 4, time.Second)
+}
--- a/internal/statesvc/statesvc.go
+++ b/internal/statesvc/statesvc.go
@@ -10,6 +10,7 @@
 
 	"golang.org/x/time/rate"
 
+	"fieldhill/internal/host"
 	"fieldhill/internal/mphttp"
 	"fieldhill/wire"
 )
@@ -25,8 +26,8 @@
 
 // New makes a client that sends at most rps requests a second. Renewals of a
 // lease are not held back by the budget.
-func New(addr string, rps float64) *Client {
-	return &Client{http: mphttp.New(8, 8, 2*time.Second), addr: addr, budget: rate.NewLimiter(rate.Limit(rps), max(1, int(rps)))}
+func New(via host.Net, addr string, rps float64) *Client {
+	return &Client{http: mphttp.New(via, 8, 8, 2*time.Second), addr: addr, budget: rate.NewLimiter(rate.Limit(rps), max(1, int(rps)))}
 }
 
 func (c *Client) do(ctx context.Context, method, path string, in, out any, timeout time.Duration) error {
@@ -42,6 +43,9 @@
 	return c.http.Do(ctx, method, c.addr, path, in, out, maxAnswer)
 }
 
+// Close ends idle connections.
+func (c *Client) Close() { c.http.Close() }
+
 // Get reads a key. A missing key is a status error with code 404.
 func (c *Client) Get(ctx context.Context, key string) (*wire.Item, error) {
 	var it wire.Item
--- a/internal/worker/worker.go
+++ b/internal/worker/worker.go
@@ -6,6 +6,7 @@
 	"errors"
 	"time"
 
+	"fieldhill/internal/host"
 	"fieldhill/internal/mphttp"
 	"fieldhill/wire"
 )
@@ -18,10 +19,13 @@
 
 // New makes a client; a command without an answer is given up after the timeout,
 // and may be executed later all the same.
-func New(timeout time.Duration, hosts int) *Client {
-	return &Client{http: mphttp.New(1, hosts, timeout), timeout: timeout}
+func New(via host.Net, timeout time.Duration, hosts int) *Client {
+	return &Client{http: mphttp.New(via, 1, hosts, timeout), timeout: timeout}
 }
 
+// Close ends idle connections.
+func (c *Client) Close() { c.http.Close() }
+
 // Fate is what became of a direct command.
 type Fate int
 
