Wait once for a busy holder, and size the fleet by what work is worth

An image under way counted as missing once its machine was half loaded. (2) Services spread a task or two over every machine with GPUs and kept all of them rented; they now go there only as far as the fleet finds no other room, to as few as possible. (4) With two cloud calls a second, repeated requests for the same offer starved the rest. Ruled out: memory and team limits (the log shows room).

--- a/internal/controller/house.go
+++ b/internal/controller/house.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"sort"
 	"strings"
 	"time"
 
@@ -31,11 +32,11 @@
 		r.lastTypes = now
 		n.askTypes(r)
 	}
-	if !r.listing && now.Sub(r.lastList) > max(2*time.Second, config.Seconds(4/n.set.Params.Cloud.RPS)) {
+	if !r.listing && now.Sub(r.lastList) > max(2*time.Second, config.Seconds(8/n.set.Params.Cloud.RPS)) {
 		r.listing, r.lastList = true, now
 		n.list(r)
 	}
-	if now.Sub(r.lastFleet) > time.Second && now.After(r.placeFrom) && !r.stalled() {
+	if now.Sub(r.lastFleet) > 500*time.Millisecond && now.After(r.placeFrom) && !r.stalled() {
 		r.lastFleet = now
 		n.runFleet(r)
 	}
@@ -134,16 +135,90 @@
 		return
 	}
 	n.judgeMachines(r)
+	n.summary(r)
 	now := n.now()
 	n.fleet.Pending = r.pending
 	p := n.fleet.Plan(n.m, now)
-	n.sched.Headroom = p.Headroom
+	n.sched.Headroom, n.sched.ForServices = p.Headroom, p.ForServices
+	for _, mc := range n.m.Order {
+		if mc.Draining != p.Drain[mc] {
+			n.log.Info("machine only for low work that it costs too much for", "machine", mc.Info.Name, "type", mc.Info.Type, "draining", !mc.Draining)
+			mc.Draining = !mc.Draining
+			n.dirty = true
+		}
+	}
 	for _, mc := range p.Returns {
 		n.giveUp(mc, "it is idle and nothing needs it")
 	}
+	// The cloud's rate is small, so few requests are under way at once and none
+	// twice for the same offer: the answer to the first tells what is left.
+	under := max(2, int(n.set.Params.Cloud.RPS))
 	for _, h := range p.Hires {
-		n.hire(r, h)
+		if len(r.pending) >= under {
+			break
+		}
+		if r.pending[h.Offer] == 0 {
+			n.hire(r, h)
+		}
+	}
+}
+
+// summary logs now and then what the machines are used for.
+func (n *Node) summary(r *role) {
+	if time.Since(r.lastSummary) < 20*time.Second {
+		return
+	}
+	r.lastSummary = time.Now()
+	type sum struct {
+		up, booting, idle              int
+		total, services, gangs, arrays float64
+	}
+	sums := map[string]*sum{}
+	var names []string
+	for _, mc := range n.m.Order {
+		name := mc.Info.Type
+		if mc.Spot {
+			name += "/spot"
+		}
+		s := sums[name]
+		if s == nil {
+			s = &sum{}
+			sums[name] = s
+			names = append(names, name)
+		}
+		if !mc.Reported {
+			s.booting++
+			continue
+		}
+		s.up++
+		if len(mc.Runs) == 0 {
+			s.idle++
+		}
+		s.total += n.m.TypeOf(mc).CPUs
+		for _, run := range mc.Runs {
+			switch run.Job.Kind {
+			case model.Service:
+				s.services += run.Job.Spec.CPUs
+			case model.Gang:
+				s.gangs += run.Job.Spec.CPUs
+			default:
+				s.arrays += run.Job.Spec.CPUs
+			}
+		}
+	}
+	sort.Strings(names)
+	waiting := map[string]int{}
+	for _, j := range n.m.Jobs {
+		if k := j.Waiting(); k > 0 {
+			waiting[j.Spec.Class] += k
+		}
+	}
+	for _, name := range names {
+		s := sums[name]
+		n.log.Info("machines", "type", name, "up", s.up, "booting", s.booting, "idle", s.idle, "cpus", s.total,
+			"services", s.services, "gangs", s.gangs, "arrays", s.arrays)
 	}
+	n.log.Info("work", "jobs", len(n.m.Jobs), "waiting", waiting)
 }
 
 // judgeMachines gives up machines that are silent, faulty or never came up.
--- a/internal/controller/node.go
+++ b/internal/controller/node.go
@@ -80,27 +80,28 @@
 
 // role is what a leader has.
 type role struct {
-	ld        oplog.Leader
-	until     time.Time // the lead is trusted until then
-	committed uint64
-	writing   bool
-	wroteAt   time.Time
-	queue     [][]byte // batches not yet handed to the writer; the last one grows
-	batches   chan oplog.Batch
-	waiters   []waiter
-	placeFrom time.Time
-	sinceSnap int
-	compact   chan snapshot
-	hires     int
-	pending   map[fleet.Offer]int
-	cancel    context.CancelFunc
-	ctx       context.Context
-	lastFleet time.Time
-	lastTypes time.Time
-	listing   bool
-	lastList  time.Time
-	releasing bool
-	touched   map[*model.Machine]bool
+	ld          oplog.Leader
+	until       time.Time // the lead is trusted until then
+	committed   uint64
+	writing     bool
+	wroteAt     time.Time
+	queue       [][]byte // batches not yet handed to the writer; the last one grows
+	batches     chan oplog.Batch
+	waiters     []waiter
+	placeFrom   time.Time
+	sinceSnap   int
+	compact     chan snapshot
+	hires       int
+	pending     map[fleet.Offer]int
+	cancel      context.CancelFunc
+	ctx         context.Context
+	lastFleet   time.Time
+	lastTypes   time.Time
+	lastSummary time.Time
+	listing     bool
+	lastList    time.Time
+	releasing   bool
+	touched     map[*model.Machine]bool
 }
 
 type snapshot struct {
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -33,9 +33,15 @@
 
 // Plan is what to ask of the cloud, and the headroom that low work must leave.
 type Plan struct {
-	Hires    []Hire
-	Returns  []*model.Machine
+	Hires   []Hire
+	Returns []*model.Machine
+	// Drain are machines that only low work uses and that cost more than it is
+	// worth: they get nothing new and are returned when empty.
+	Drain    map[*model.Machine]bool
 	Headroom float64
+	// ForServices are the machines with GPUs that services need because there is
+	// no other room for them; the rest is kept whole for work that uses GPUs.
+	ForServices map[*model.Machine]int // how many tasks each
 }
 
 type refusal struct {
@@ -82,7 +88,7 @@
 // pauses that grow.
 func (f *Fleet) Refused(o Offer, now model.Time) {
 	r := f.refused[o]
-	r.pause = min(max(2*r.pause, 8e9), 60e9)
+	r.pause = min(max(2*r.pause, 10e9), 80e9)
 	r.until = now + r.pause
 	f.refused[o] = r
 }
@@ -124,6 +130,22 @@
 	return best
 }
 
+// worth is how many times the lowest price a task of an array may cost: the
+// fewer may be late by the objectives, the more. Where many may be late, dear
+// machines are not rented for them.
+func (f *Fleet) worth(j *model.Job) float64 {
+	share := 0.75
+	for _, o := range f.Objectives {
+		if o.Class == j.Spec.Class && (o.Kind == "finished" || o.Kind == "deadline") {
+			share = max(share, o.Share)
+		}
+	}
+	return 1 / max(0.01, 1-share)
+}
+
+// yieldS is how long it takes to stop low work and learn that its room is free.
+const yieldS = 4.0
+
 const memory = 240.0 // seconds over which arrivals are averaged
 
 // learn watches the jobs that come.
@@ -199,7 +221,10 @@
 	zone    int32
 	spot    bool
 	count   int
-	job     *model.Job
+	service bool
+	rank    model.Priority
+	standby bool          // room to keep free, not work
+	limit   float64       // how many times the cheapest price it is worth; 0: any
 	perZone int           // how many may go to one zone; 0: any number
 	inZone  map[int32]int // how many are there already
 }
@@ -251,27 +276,27 @@
 	f.learn(m, jobs, now)
 	slots := f.slots(m)
 	items, headroom := f.items(m, jobs, now)
+	p := Plan{Headroom: headroom, ForServices: map[*model.Machine]int{}, Drain: map[*model.Machine]bool{}}
 	for i := range items {
-		f.pack(m, &items[i], &slots, now)
+		f.pack(m, &items[i], &slots, now, p.ForServices)
 	}
-	p := Plan{Headroom: headroom}
-	count := map[Offer]int{}
-	for _, s := range slots {
+	count, first := map[Offer]int{}, map[Offer]int{}
+	for i, s := range slots {
 		if s.wish {
-			count[s.offer]++
+			if count[s.offer]++; count[s.offer] == 1 {
+				first[s.offer] = i
+			}
 		}
 	}
 	for o, n := range count {
 		p.Hires = append(p.Hires, Hire{o, n})
 	}
-	sort.Slice(p.Hires, func(i, k int) bool {
-		a, b := p.Hires[i].Offer, p.Hires[k].Offer
-		if a.Type != b.Type {
-			return a.Type < b.Type
-		}
-		return a.Zone < b.Zone || a.Zone == b.Zone && !a.Spot && b.Spot
-	})
+	// In the order in which the demand asked: the most urgent first.
+	sort.Slice(p.Hires, func(i, k int) bool { return first[p.Hires[i].Offer] < first[p.Hires[k].Offer] })
 	for _, s := range slots {
+		if s.mc != nil && !s.used && s.mc.Reported && len(s.mc.Runs) > 0 {
+			p.Drain[s.mc] = true
+		}
 		if s.mc != nil && !s.used && f.returnable(m, s.mc, now) {
 			p.Returns = append(p.Returns, s.mc)
 		}
@@ -294,13 +319,19 @@
 	var out []*slot
 	for _, mc := range m.Order {
 		t := m.TypeOf(mc)
-		if !t.Known || mc.Draining || mc.Bad || mc.Releasing || mc.Notice != 0 {
+		if !t.Known || mc.Bad || mc.Releasing || mc.Notice != 0 {
 			continue
 		}
 		total := sched.Total(m, mc)
-		s := &slot{mc: mc, offer: Offer{mc.Type, mc.Zone, mc.Spot}, total: total,
-			free: sched.Room{CPUs: total.CPUs - mc.CPUs, GPUs: total.GPUs - mc.GPUs, Mem: total.Mem - mc.Mem}}
-		s.used = len(mc.Runs) > 0
+		s := &slot{mc: mc, offer: Offer{mc.Type, mc.Zone, mc.Spot}, total: total, free: total}
+		for _, r := range mc.Runs {
+			// Low work gives way, so its room is not lost to what is more
+			// urgent; it is packed again behind it.
+			if !yields(r.Job) {
+				s.used = true
+				s.free = s.free.Minus(sched.Need(r.Job))
+			}
+		}
 		out = append(out, s)
 	}
 	for o, n := range f.Pending {
@@ -315,25 +346,31 @@
 	return out
 }
 
+func yields(j *model.Job) bool {
+	return j.Kind == model.Array && j.Priority == model.Low && !j.Guaranteed
+}
+
 // items lists what wants room, most urgent first.
 func (f *Fleet) items(m *model.Model, jobs []*model.Job, now model.Time) ([]item, float64) {
 	var urgent, standby, low []item
 	for _, j := range jobs {
 		n := j.Waiting()
-		if n == 0 || j.Team == nil {
+		if n == 0 && !yields(j) || j.Team == nil || j.Cancelled {
 			continue
 		}
 		n = min(n, teamRoom(j))
-		it := item{need: sched.Need(j), types: j.Types, zone: j.Zone, spot: j.Spec.Spot, count: n, job: j}
+		it := item{need: sched.Need(j), types: j.Types, zone: j.Zone, spot: j.Spec.Spot, count: n, service: j.Kind == model.Service, rank: j.Priority}
 		it.spread(j)
 		if j.Kind != model.Array {
 			urgent = append(urgent, it)
 			continue
 		}
 		it.count = min(n, f.parallel(m, j, now))
-		if j.Priority > model.Low || j.Guaranteed {
+		it.limit = f.worth(j)
+		if !yields(j) {
 			urgent = append(urgent, it)
 		} else {
+			it.count += j.Live
 			low = append(low, it)
 		}
 	}
@@ -359,23 +396,28 @@
 		case model.Service:
 			mean := r * (boot*1.5 + 10)
 			n = mean + 2*math.Sqrt(mean*max(1, c.tasks)) + c.burst
-			headroom += n * c.need.CPUs
+			// Low work gives way within seconds; only what must start sooner than
+			// that needs room that is free already.
+			if within-fetch < yieldS {
+				headroom += (r*2*yieldS + 1.5*c.burst) * c.need.CPUs
+			}
 		case model.Gang:
 			// The usual number at once, by Little's law, less those that run.
 			usual := r * (c.busy*1.2 + fetch)
 			n = math.Round(usual+0.7*math.Sqrt(usual)) - float64(liveOf(jobs, id))
-			n = min(n, math.Ceil(r*boot*1.5+0.5))
+			n = min(n, math.Ceil(r*boot))
 		default:
 			continue
 		}
 		if k := int(math.Ceil(n)); k > 0 {
-			it := item{need: c.need, types: c.types, zone: c.zone, spot: c.spot && c.kind != model.Service, count: k}
+			it := item{need: c.need, types: c.types, zone: c.zone, spot: c.spot && c.kind != model.Service, count: k, service: c.kind == model.Service, standby: true, limit: 6}
 			if c.spread && k > 1 {
 				it.perZone, it.inZone = k/2+1, map[int32]int{}
 			}
 			standby = append(standby, it)
 		}
 	}
+	sort.SliceStable(urgent, func(i, k int) bool { return urgent[i].rank > urgent[k].rank })
 	return append(append(urgent, standby...), low...), headroom
 }
 
@@ -437,25 +479,49 @@
 }
 
 // pack puts an item's tasks onto slots, wishing for machines where room ends.
-func (f *Fleet) pack(m *model.Model, it *item, slots *[]*slot, now model.Time) {
+func (f *Fleet) pack(m *model.Model, it *item, slots *[]*slot, now model.Time, forServices map[*model.Machine]int) {
 	left := it.count
-	for pass := 0; pass < 2 && left > 0; pass++ {
+	fill := func(may func(*slot) bool) {
 		for _, s := range *slots {
-			// Work without GPUs is not to keep machines with GPUs.
-			if (pass == 0) != (it.need.GPUs > 0 || s.total.GPUs == 0) || !it.allows(s.offer) {
-				continue
-			}
-			if pass == 1 && !s.used {
-				continue
-			}
-			for left > 0 && s.free.Holds(it.need) && it.allows(s.offer) {
+			for left > 0 && may(s) && s.free.Holds(it.need) && it.allows(s.offer) {
 				it.put(s)
 				left--
+				if it.service && !it.standby && s.mc != nil && s.total.GPUs > 0 {
+					forServices[s.mc]++
+				}
 			}
 		}
 	}
+	plain := it.need.GPUs == 0
+	if it.limit > 0 {
+		// First what is there anyway, then what it is worth paying for.
+		fill(func(s *slot) bool { return s.used && (!plain || s.total.GPUs == 0) })
+		worth := f.affordable(m, it)
+		fill(func(s *slot) bool { return (!plain || s.total.GPUs == 0 || !it.standby) && worth(s.offer) })
+	} else {
+		fill(func(s *slot) bool { return !plain || s.total.GPUs == 0 })
+	}
+	if plain {
+		// Work without GPUs is not to keep machines with GPUs that are idle.
+		if it.service {
+			fill(func(s *slot) bool { return s.total.GPUs > 0 && !f.suitsGPUWork(s) && s.used })
+			f.fullest(*slots, func(s *slot) { fill(func(o *slot) bool { return o == s && f.spoiled(s) }) })
+		} else {
+			fill(func(s *slot) bool { return s.used })
+		}
+	}
 	for left > 0 {
 		o, ok := f.cheapest(m, it, left, now)
+		if plain && it.service && !it.standby && (!ok || m.Types[o.Type].GPUs > 0) {
+			// Nothing without GPUs can be rented: take one with GPUs that is there.
+			before := left
+			f.fullest(*slots, func(s *slot) { fill(func(o *slot) bool { return o == s }) })
+			fill(func(s *slot) bool { return s.mc != nil && s.mc.Reported })
+			fill(func(s *slot) bool { return true })
+			if left < before {
+				continue
+			}
+		}
 		if !ok {
 			return
 		}
@@ -473,6 +539,46 @@
 	}
 }
 
+// fullest calls a function for the machines with GPUs that hold services, the
+// one with most of them first: the fewer machines they keep, the better.
+func (f *Fleet) fullest(slots []*slot, each func(*slot)) {
+	var some []*slot
+	for _, s := range slots {
+		if s.mc != nil && s.total.GPUs > 0 && sched.Firm(s.mc).CPUs > 0 {
+			some = append(some, s)
+		}
+	}
+	sort.SliceStable(some, func(i, k int) bool { return sched.Firm(some[i].mc).CPUs > sched.Firm(some[k].mc).CPUs })
+	for _, s := range some {
+		each(s)
+	}
+}
+
+// suitsGPUWork tells whether work that uses GPUs, as it was seen, fits a slot.
+func (f *Fleet) suitsGPUWork(s *slot) bool {
+	for _, c := range f.classes {
+		if c.need.GPUs > 0 && s.total.Holds(c.need) {
+			return true
+		}
+	}
+	return false
+}
+
+// spoiled tells whether services took a machine with GPUs already, so that the
+// largest work that uses GPUs does not fit beside them.
+func (f *Fleet) spoiled(s *slot) bool {
+	if s.mc == nil {
+		return false
+	}
+	firm := sched.Firm(s.mc)
+	for _, c := range f.classes {
+		if c.need.GPUs > 0 && s.total.Holds(c.need) && !s.total.Minus(firm).Holds(c.need) {
+			return true
+		}
+	}
+	return false
+}
+
 func wishes(slots []*slot) int {
 	n := 0
 	for _, s := range slots {
@@ -483,41 +589,62 @@
 	return n
 }
 
-// cheapest finds the offer that costs least for what is left of an item.
-func (f *Fleet) cheapest(m *model.Model, it *item, left int, now model.Time) (Offer, bool) {
-	var best Offer
-	bestCost, found := math.Inf(1), false
+// price is what a task of an item costs an hour on an offer, when so many of
+// them are to be placed; false: it does not fit or may not go there.
+func (f *Fleet) price(m *model.Model, it *item, o Offer, left int) (float64, bool) {
+	t := &m.Types[o.Type]
+	fit := 0
+	for r := (sched.Room{CPUs: t.CPUs, GPUs: t.GPUs, Mem: t.MemoryGB}); fit < left && r.Holds(it.need); fit++ {
+		r = r.Minus(it.need)
+	}
+	if !t.Known || fit == 0 || !it.allows(o) {
+		return 0, false
+	}
+	price := t.Price
+	if o.Spot {
+		price = t.SpotPrice * 1.3 // some are taken, and their work with them
+	}
+	return price / float64(fit) * (1 + t.BootS/300), true
+}
+
+// offers calls a function for everything that the cloud may rent out.
+func offers(m *model.Model, each func(Offer)) {
 	for i := range m.Types {
-		t := &m.Types[i]
-		if !t.Known {
-			continue
+		for _, z := range m.Types[i].ZoneIDs {
+			each(Offer{int32(i), z, false})
+			each(Offer{int32(i), z, true})
 		}
-		total := sched.Room{CPUs: t.CPUs, GPUs: t.GPUs, Mem: t.MemoryGB}
-		fit := 0
-		for r := total; fit < left && r.Holds(it.need); fit++ {
-			r = r.Minus(it.need)
+	}
+}
+
+// affordable tells which offers an item is worth: those that cost, when full, no
+// more than so many times the cheapest one.
+func (f *Fleet) affordable(m *model.Model, it *item) func(Offer) bool {
+	floor := math.Inf(1)
+	offers(m, func(o Offer) {
+		if p, ok := f.price(m, it, o, math.MaxInt32); ok {
+			floor = min(floor, p)
 		}
-		if fit == 0 {
-			continue
+	})
+	return func(o Offer) bool {
+		p, ok := f.price(m, it, o, math.MaxInt32)
+		return ok && (it.limit == 0 || p <= floor*it.limit)
+	}
+}
+
+// cheapest finds the offer that costs least for what is left of an item.
+func (f *Fleet) cheapest(m *model.Model, it *item, left int, now model.Time) (best Offer, found bool) {
+	worth := f.affordable(m, it)
+	bestCost := math.Inf(1)
+	offers(m, func(o Offer) {
+		cost, ok := f.price(m, it, o, left)
+		if !ok || f.refused[o].until > now || !worth(o) {
+			return
 		}
-		for _, z := range t.ZoneIDs {
-			for _, spot := range []bool{false, true} {
-				o := Offer{int32(i), z, spot}
-				if !it.allows(o) || f.refused[o].until > now {
-					continue
-				}
-				price := t.Price
-				if spot {
-					price = t.SpotPrice * 1.3 // some are taken, and their work with them
-				}
-				cost := price / float64(fit) * (1 + t.BootS/300)
-				cost *= 1 + 0.02*float64(count(m, o))
-				if cost < bestCost {
-					best, bestCost, found = o, cost, true
-				}
-			}
+		if cost *= 1 + 0.02*float64(count(m, o)); cost < bestCost {
+			best, bestCost, found = o, cost, true
 		}
-	}
+	})
 	return best, found
 }
 
--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -62,9 +62,13 @@
 	// that must start at once.
 	Headroom float64
 
+	// ForServices are machines with GPUs that services may take, and how many tasks.
+	ForServices map[*model.Machine]int
+
 	claims map[*model.Machine]Room // room kept for waiting urgent work this round
 	shapes map[int32]Room          // largest need seen of each class that uses GPUs
-	free   float64                 // free CPUs on machines without GPUs
+	free   float64                 // free CPUs where services go: ordinary machines without GPUs
+
 }
 
 // New makes a scheduler.
@@ -78,6 +82,9 @@
 			best = min(best, o.WithinS)
 		}
 	}
+	if j.Priority == model.Production {
+		return config.Seconds(best * 0.05)
+	}
 	return config.Seconds(best * 0.15)
 }
 
@@ -130,7 +137,7 @@
 	s.claims = map[*model.Machine]Room{}
 	s.free = 0
 	for _, mc := range m.Order {
-		if t := m.TypeOf(mc); mc.Usable() && t.GPUs == 0 {
+		if t := m.TypeOf(mc); mc.Usable() && t.GPUs == 0 && !mc.Spot {
 			s.free += t.CPUs - mc.CPUs
 		}
 	}
@@ -193,7 +200,7 @@
 }
 
 // Locality extends the paper's measure: an image that is being fetched counts as
-// half there, and a missing one is worse the longer its fetch will take with the
+// mostly there (it stays below the threshold on a loaded machine too), and a missing one is worse the longer its fetch will take with the
 // fetches that share the line. Without it, tasks of a burst that needs one image
 // wait for busy holders and then pile their fetches on the idlest machines.
 func Locality(m *model.Model, j *model.Job, mc *model.Machine) float64 {
@@ -203,7 +210,7 @@
 	}
 	this, queue := mc.Fetches(j.Image)
 	if this {
-		return FileLocality(size/2, size)
+		return FileLocality(0.7*size, size)
 	}
 	loc := FileLocality(0, size)
 	if rate := m.TypeOf(mc).FetchGBPerS; rate > 0 {
@@ -252,14 +259,16 @@
 		}
 		return false
 	}
-	j.Waited = 0
 	s.put(m, t, best, task, j.Tasks[task].Attempt+1, do)
 	return true
 }
 
 func (s *Sched) put(m *model.Model, t *turn, c *cand, task int32, attempt uint32, do Doer) {
 	do.Place(t.j, task, attempt, c.mc)
-	if m.TypeOf(c.mc).GPUs == 0 {
+	if s.ForServices[c.mc] > 0 && t.j.Kind == model.Service {
+		s.ForServices[c.mc]--
+	}
+	if m.TypeOf(c.mc).GPUs == 0 && !c.mc.Spot {
 		s.free -= t.j.Spec.CPUs
 	}
 	c.loc = Locality(m, t.j, c.mc)
@@ -296,10 +305,39 @@
 
 // misfit makes machines with GPUs the last choice for work that uses none.
 func (s *Sched) misfit(m *model.Model, j *model.Job, mc *model.Machine) float64 {
-	if j.Spec.GPUs == 0 && m.TypeOf(mc).GPUs > 0 {
-		return 2
+	if j.Spec.GPUs > 0 || m.TypeOf(mc).GPUs == 0 {
+		return 0
 	}
-	return 0
+	if j.Kind == model.Service && s.spoils(m, j, mc, true) && !s.spoils(m, j, mc, false) {
+		return 4 // better one that no gang fits any more
+	}
+	return 2
+}
+
+// suitsGPUWork tells whether work that uses GPUs, as it was seen, fits a machine.
+func (s *Sched) suitsGPUWork(total Room) bool {
+	for _, shape := range s.shapes {
+		if total.Holds(shape) {
+			return true
+		}
+	}
+	return false
+}
+
+// spoils tells whether a gang that uses GPUs would not fit beside the services
+// of a machine, with the job's task or without it.
+func (s *Sched) spoils(m *model.Model, j *model.Job, mc *model.Machine, with bool) bool {
+	firm := Firm(mc)
+	if with {
+		firm = firm.Plus(Need(j))
+	}
+	total := Total(m, mc)
+	for _, shape := range s.shapes {
+		if total.Holds(shape) && !total.Minus(firm).Holds(shape) {
+			return true
+		}
+	}
+	return false
 }
 
 // hasRoom tells whether a task may take room on a machine now: free, not claimed
@@ -314,21 +352,15 @@
 			return false
 		}
 	}
-	if total.GPUs == 0 && j.Priority < model.Production && s.free-need.CPUs < s.Headroom {
+	if total.GPUs == 0 && !mc.Spot && j.Priority < model.Production && s.free-need.CPUs < s.Headroom {
 		return false
 	}
 	if j.Spec.GPUs == 0 && total.GPUs > 0 && j.Kind == model.Service {
-		// A service stays; it must not take what a gang needs of a machine with GPUs.
-		firm := need
-		for _, r := range mc.Runs {
-			if r.Job.Kind == model.Service && r.Job.Spec.GPUs == 0 {
-				firm = firm.Plus(Need(r.Job))
-			}
-		}
-		for _, shape := range s.shapes {
-			if total.Holds(shape) && !total.Minus(firm).Holds(shape) {
-				return false
-			}
+		// A service stays for long: it would take what a gang needs, and keep a
+		// dear machine from being returned. It goes to a machine that gangs use
+		// only as far as the fleet found no other room for services.
+		if s.ForServices[mc] <= 0 && s.suitsGPUWork(total) {
+			return false
 		}
 	}
 	return true
@@ -345,6 +377,17 @@
 	return r
 }
 
+// Firm is the room that services without GPUs have taken of a machine.
+func Firm(mc *model.Machine) Room {
+	var firm Room
+	for _, r := range mc.Runs {
+		if r.Job.Kind == model.Service && r.Job.Spec.GPUs == 0 {
+			firm = firm.Plus(Need(r.Job))
+		}
+	}
+	return firm
+}
+
 // gang places all tasks of a gang or none. A gang that lost a member is stopped
 // as a whole first; its next attempt begins when nothing of the old one is left.
 func (s *Sched) gang(m *model.Model, t *turn, now model.Time, do Doer) {
