Ask silent machines themselves, tell a cut zone sooner, keep low work off dear machines

Machines are now asked directly before they are given up (hung ones in about 8 s instead of 10), and a zone counts as cut when most of its machines missed a report. New replicas waited for room that low work was given again; room is left where services are expected. Low work moved into each GPU machine its gang had left.

--- a/internal/controller/house.go
+++ b/internal/controller/house.go
@@ -139,7 +139,7 @@
 	now := n.now()
 	n.fleet.Pending = r.pending
 	p := n.fleet.Plan(n.m, now)
-	n.sched.Headroom, n.sched.ForServices = p.Headroom, p.ForServices
+	n.sched.Headroom, n.sched.ForServices, n.sched.LowMay = p.Headroom, p.ForServices, p.LowMay
 	for _, mc := range n.m.Order {
 		if mc.Draining != p.Drain[mc] {
 			n.log.Info("machine only for low work that it costs too much for", "machine", mc.Info.Name, "type", mc.Info.Type, "draining", !mc.Draining)
@@ -237,26 +237,37 @@
 	for _, mc := range n.m.Order {
 		if was(mc) {
 			up[mc.Zone]++
-			if quiet(mc) {
+			// When the first machine of a cut zone is given up, every other one
+			// has missed a report too; outside a cut few have.
+			if now-mc.LastReport > config.Seconds(n.set.Params.Workers.ReportS*1.25) {
 				mute[mc.Zone]++
 			}
 		}
 	}
 	for _, mc := range n.m.Order {
 		boot := config.Seconds(max(n.m.TypeOf(mc).BootS, 10))
+		if !mc.Releasing && was(mc) && now-mc.LastReport > n.probeAfter() {
+			n.probe(mc)
+		}
+		// Many machines of a zone silent at once look like a cut, in which they
+		// go on working; one or two look dead or hung. After a cut the workers
+		// need some time to find the leader again.
+		cut := mute[mc.Zone] >= 3 && mute[mc.Zone]*2 > up[mc.Zone]
+		if cut {
+			r.cutUntil[mc.Zone] = now + 15*time.Second
+		}
+		cut = cut || now < r.cutUntil[mc.Zone]
+		age := time.Duration(time.Now().UnixMilli()-mc.At) * time.Millisecond
 		switch {
 		case mc.Releasing:
 		case mc.Bad && len(mc.Runs) == 0:
 			n.giveUp(mc, "it is faulty")
 		case was(mc) && quiet(mc):
-			// Many machines of a zone silent at once look like a cut, in which
-			// they go on working; one or two look dead or hung.
-			cut := mute[mc.Zone] >= 3 && mute[mc.Zone]*2 > up[mc.Zone]
 			if cut && now-mc.LastReport < 100*time.Second {
 				continue
 			}
 			n.giveUp(mc, "it is silent")
-		case !was(mc) && now-mc.KnownSince > 3*boot+15*time.Second:
+		case !was(mc) && !cut && age > 3*boot+15*time.Second && now-mc.KnownSince > silent+10*time.Second:
 			n.giveUp(mc, "it never came up")
 		}
 	}
--- a/internal/controller/node.go
+++ b/internal/controller/node.go
@@ -102,6 +102,7 @@
 	lastList    time.Time
 	releasing   bool
 	touched     map[*model.Machine]bool
+	cutUntil    map[int32]model.Time // zones that are cut off, or were until recently
 }
 
 type snapshot struct {
@@ -483,7 +484,7 @@
 	defer cancel()
 	r := &role{
 		ld: won.Leader, until: won.Until, batches: make(chan oplog.Batch, 1), compact: make(chan snapshot, 1),
-		pending: map[fleet.Offer]int{}, cancel: cancel, ctx: ctx, touched: map[*model.Machine]bool{},
+		pending: map[fleet.Offer]int{}, cancel: cancel, ctx: ctx, touched: map[*model.Machine]bool{}, cutUntil: map[int32]model.Time{},
 	}
 	errs := make(chan error, 3)
 	go func() {
--- a/internal/controller/workers.go
+++ b/internal/controller/workers.go
@@ -245,9 +245,33 @@
 	return len(n.m.Order) > 0
 }
 
-// silentAfter is how long a machine may say nothing before it is given up: the
-// longest pause between reports, a report whose answer was lost, and a try at
-// another node.
-func (n *Node) silentAfter() time.Duration {
-	return config.Seconds(n.set.Params.Workers.ReportS*1.25 + 4 + 2)
+// probeAfter is how long a machine may say nothing before it is asked itself:
+// the longest pause between two reports and some time on the way.
+func (n *Node) probeAfter() time.Duration {
+	return config.Seconds(n.set.Params.Workers.ReportS*1.25 + 0.75)
+}
+
+// silentAfter is how long a machine may say nothing, also when asked, before it
+// is given up.
+func (n *Node) silentAfter() time.Duration { return n.probeAfter() + 3*time.Second }
+
+// probe asks a silent machine how it is. A worker that lost its node may take
+// long to find the leader; one that is dead or hangs does not answer at all.
+func (n *Node) probe(mc *model.Machine) {
+	r := n.role
+	if mc.Probing || mc.Sending || mc.Info.Addr == "" {
+		return
+	}
+	mc.Probing = true
+	addr := mc.Info.Addr
+	go func() {
+		rep, err := n.worker.Show(r.ctx, addr, 1200*time.Millisecond)
+		n.post(func() {
+			mc.Probing = false
+			if n.role == r && err == nil && n.m.Machines[mc.ID] == mc && rep.Machine == mc.Info.Name {
+				n.observe(mc, rep, true)
+				mc.LastReport = n.now()
+			}
+		})
+	}()
 }
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -42,6 +42,10 @@
 	// ForServices are the machines with GPUs that services need because there is
 	// no other room for them; the rest is kept whole for work that uses GPUs.
 	ForServices map[*model.Machine]int // how many tasks each
+	// LowMay are the machines with GPUs that low work may use: it is worth them,
+	// or they are kept anyway. Elsewhere it would hold a dear machine that its
+	// last gang has left, for as long as its longest task runs.
+	LowMay map[*model.Machine]bool
 }
 
 type refusal struct {
@@ -277,8 +281,32 @@
 	slots := f.slots(m)
 	items, headroom := f.items(m, jobs, now)
 	p := Plan{Headroom: headroom, ForServices: map[*model.Machine]int{}, Drain: map[*model.Machine]bool{}}
+	var worth []func(Offer) bool
+	kept := map[*slot]bool{}
 	for i := range items {
+		if items[i].limit > 0 && !items[i].standby && worth == nil {
+			for _, s := range slots {
+				kept[s] = s.used
+			}
+		}
 		f.pack(m, &items[i], &slots, now, p.ForServices)
+		if items[i].limit > 0 && !items[i].standby {
+			worth = append(worth, f.affordable(m, &items[i]))
+		}
+	}
+	p.LowMay = map[*model.Machine]bool{}
+	for _, s := range slots {
+		if s.mc == nil || s.total.GPUs == 0 {
+			continue
+		}
+		gang := false
+		for _, r := range s.mc.Runs {
+			gang = gang || r.Job.Spec.GPUs > 0
+		}
+		p.LowMay[s.mc] = !f.suitsGPUWork(s) || kept[s] && (!gang || sched.Firm(s.mc).CPUs > 0)
+		for _, w := range worth {
+			p.LowMay[s.mc] = p.LowMay[s.mc] || w(s.offer)
+		}
 	}
 	count, first := map[Offer]int{}, map[Offer]int{}
 	for i, s := range slots {
@@ -505,7 +533,12 @@
 		// Work without GPUs is not to keep machines with GPUs that are idle.
 		if it.service {
 			fill(func(s *slot) bool { return s.total.GPUs > 0 && !f.suitsGPUWork(s) && s.used })
-			f.fullest(*slots, func(s *slot) { fill(func(o *slot) bool { return o == s && f.spoiled(s) }) })
+			f.fullest(*slots, func(s *slot) {
+				was := left
+				if fill(func(o *slot) bool { return o == s && f.spoiled(s) }); it.standby && left < was {
+					forServices[s.mc] += was - left // it is theirs already
+				}
+			})
 		} else {
 			fill(func(s *slot) bool { return s.used })
 		}
--- a/internal/model/model.go
+++ b/internal/model/model.go
@@ -252,6 +252,7 @@
 	FailedJobs map[JobID]bool
 	Listed     string // the cloud's state for it
 	Sending    bool   // a direct command is under way
+	Probing    bool   // it is being asked how it is
 	NoDirect   bool   // the last direct command got no answer
 	unsure     map[runKey]underway
 	dead       []deadTask
--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -65,9 +65,13 @@
 	// ForServices are machines with GPUs that services may take, and how many tasks.
 	ForServices map[*model.Machine]int
 
-	claims map[*model.Machine]Room // room kept for waiting urgent work this round
-	shapes map[int32]Room          // largest need seen of each class that uses GPUs
-	free   float64                 // free CPUs where services go: ordinary machines without GPUs
+	// LowMay are the machines with GPUs that low work may use.
+	LowMay map[*model.Machine]bool
+
+	service float64                 // the most CPUs that a service task takes
+	claims  map[*model.Machine]Room // room kept for waiting urgent work this round
+	shapes  map[int32]Room          // largest need seen of each class that uses GPUs
+	free    float64                 // free CPUs where services go: ordinary machines without GPUs
 
 }
 
@@ -134,6 +138,12 @@
 		}
 	}
 	sort.SliceStable(active, func(i, k int) bool { return tier(active[i]) > tier(active[k]) })
+	s.service = 0
+	for _, j := range jobs {
+		if j.Kind == model.Service {
+			s.service = max(s.service, j.Spec.CPUs)
+		}
+	}
 	s.claims = map[*model.Machine]Room{}
 	s.free = 0
 	for _, mc := range m.Order {
@@ -355,15 +365,25 @@
 	if total.GPUs == 0 && !mc.Spot && j.Priority < model.Production && s.free-need.CPUs < s.Headroom {
 		return false
 	}
-	if j.Spec.GPUs == 0 && total.GPUs > 0 && j.Kind == model.Service {
-		// A service stays for long: it would take what a gang needs, and keep a
-		// dear machine from being returned. It goes to a machine that gangs use
-		// only as far as the fleet found no other room for services.
-		if s.ForServices[mc] <= 0 && s.suitsGPUWork(total) {
+	if total.GPUs > 0 && j.Spec.GPUs == 0 && j.Priority == model.Low && !s.LowMay[mc] {
+		return false
+	}
+	if k := s.ForServices[mc]; k > 0 && j.Kind != model.Service && j.Spec.GPUs == 0 {
+		// Where services are expected, other work leaves some of their room free.
+		if total.CPUs-mc.CPUs-need.CPUs < float64(min(k, 3))*s.service {
 			return false
 		}
 	}
-	return true
+	return s.serviceMay(m, j, mc)
+}
+
+// serviceMay tells whether a service may go to a machine. A service stays for
+// long: it would take what a gang needs, and keep a dear machine from being
+// returned. It goes to a machine that gangs use only as far as the fleet found
+// no other room for services.
+func (s *Sched) serviceMay(m *model.Model, j *model.Job, mc *model.Machine) bool {
+	total := Total(m, mc)
+	return j.Kind != model.Service || j.Spec.GPUs > 0 || total.GPUs == 0 || s.ForServices[mc] > 0 || !s.suitsGPUWork(total)
 }
 
 // stopping is the room that tasks told to stop will leave.
@@ -528,7 +548,7 @@
 		bestHarm := 0.0
 		for i := range t.cands {
 			mc := t.cands[i].mc
-			if !j.ZoneAllows(mc.Zone) {
+			if !j.ZoneAllows(mc.Zone) || !s.serviceMay(m, j, mc) {
 				continue
 			}
 			runs, cost, ok := s.victims(m, j, mc, need, now)
--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -58,6 +58,14 @@
 	}
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST "+wire.PathOrders, w.orders)
+	mux.HandleFunc("GET "+wire.PathShow, func(rw http.ResponseWriter, r *http.Request) {
+		for w.hung() {
+			time.Sleep(step)
+		}
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		answer(rw, 200, w.report())
+	})
 	serve(ctx, ln, mux)
 	w.mu.Lock()
 	w.session, w.leaseEnd = 1, time.Now().Add(w.world.lease)
@@ -86,6 +94,12 @@
 	w.hangs = time.Now().Add(d)
 }
 
+func (w *Worker) hung() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return !w.lost && time.Now().Before(w.hangs)
+}
+
 // Sicken makes every task that runs on the machine fail.
 func (w *Worker) Sicken() {
 	w.mu.Lock()
--- a/internal/worker/worker.go
+++ b/internal/worker/worker.go
@@ -37,6 +37,14 @@
 	Unknown       // it may be executed at any later time
 )
 
+// Show asks for a worker's report.
+func (c *Client) Show(ctx context.Context, addr string, timeout time.Duration) (*wire.Report, error) {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	var r wire.Report
+	return &r, c.http.Do(ctx, "GET", addr, wire.PathShow, nil, &r, wire.MaxBody)
+}
+
 // Orders sends commands. The report is the worker's, if it sent one.
 func (c *Client) Orders(ctx context.Context, addr string, o *wire.Orders) (Fate, *wire.Report, error) {
 	ctx, cancel := context.WithTimeout(ctx, c.timeout)
