--- a/internal/controller/house.go
+++ b/internal/controller/house.go
@@ -139,6 +139,7 @@
 	now := n.now()
 	n.fleet.Pending = r.pending
 	p := n.fleet.Plan(n.m, now)
+	n.sched.Vacate = p.Vacate
 	n.sched.Headroom, n.sched.ForServices, n.sched.LowMay = p.Headroom, p.ForServices, p.LowMay
 	for _, mc := range n.m.Order {
 		if mc.Draining != p.Drain[mc] {
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -46,6 +46,9 @@
 	// or they are kept anyway. Elsewhere it would hold a dear machine that its
 	// last gang has left, for as long as its longest task runs.
 	LowMay map[*model.Machine]bool
+	// Vacate is a dear machine that only services hold, whose replicas all have
+	// room elsewhere: they are moved, one at a time, and it is returned.
+	Vacate *model.Machine
 }
 
 type refusal struct {
@@ -78,6 +81,7 @@
 	refused    map[Offer]refusal
 	classes    map[int32]*class
 	seen       map[model.JobID]bool
+	vacating   *model.Machine
 	began      model.Time
 	started    bool
 	lastDecay  model.Time
@@ -285,6 +289,7 @@
 	kept := map[*slot]bool{}
 	for i := range items {
 		if items[i].limit > 0 && !items[i].standby && worth == nil {
+			p.Vacate = f.vacate(m, slots, p.ForServices)
 			for _, s := range slots {
 				kept[s] = s.used
 			}
@@ -294,6 +299,10 @@
 			worth = append(worth, f.affordable(m, &items[i]))
 		}
 	}
+	if worth == nil {
+		p.Vacate = f.vacate(m, slots, p.ForServices)
+	}
+	f.vacating = p.Vacate
 	p.LowMay = map[*model.Machine]bool{}
 	for _, s := range slots {
 		if s.mc == nil || s.total.GPUs == 0 {
@@ -577,7 +586,7 @@
 func (f *Fleet) fullest(slots []*slot, each func(*slot)) {
 	var some []*slot
 	for _, s := range slots {
-		if s.mc != nil && s.total.GPUs > 0 && sched.Firm(s.mc).CPUs > 0 {
+		if s.mc != nil && s.mc != f.vacating && s.total.GPUs > 0 && sched.Firm(s.mc).CPUs > 0 {
 			some = append(some, s)
 		}
 	}
@@ -587,6 +596,66 @@
 	}
 }
 
+// vacate looks for the machine with GPUs that the fewest services hold, and for
+// room for all of them elsewhere, beside what waits and what is kept free. The
+// places on other such machines are allowed to services.
+func (f *Fleet) vacate(m *model.Model, slots []*slot, forServices map[*model.Machine]int) *model.Machine {
+	var v *slot
+	for _, s := range slots {
+		if s.mc == nil || !s.mc.Reported || s.total.GPUs == 0 || !f.suitsGPUWork(s) || forServices[s.mc] > 0 {
+			continue
+		}
+		firm := sched.Firm(s.mc)
+		if firm.CPUs == 0 || s.total.Minus(firm).Minus(s.free).CPUs > 1e-6 { // a gang is there, or comes
+			continue
+		}
+		if v == nil || firm.CPUs < sched.Firm(v.mc).CPUs {
+			v = s
+		}
+	}
+	if v == nil {
+		return nil
+	}
+	extra := map[*model.Machine]int{}
+	taken := map[*slot]sched.Room{}
+	for _, r := range v.mc.Runs {
+		j := r.Job
+		if j.Kind != model.Service {
+			continue
+		}
+		if !r.Wanted() {
+			continue
+		}
+		need := sched.Need(j)
+		fits := func(s *slot) bool {
+			return s != v && s.mc != nil && s.mc.Usable() && j.Allowed(s.mc.Type, s.mc.Zone, s.mc.Spot) &&
+				(s.mc.Zone == v.mc.Zone || j.ZoneAllows(s.mc.Zone)) && s.free.Minus(taken[s]).Holds(need)
+		}
+		var to *slot
+		for _, s := range slots {
+			if s.total.GPUs == 0 && fits(s) && (to == nil || s.mc.Has(j.Image) && !to.mc.Has(j.Image)) {
+				to = s
+			}
+		}
+		if to == nil {
+			f.fullest(slots, func(s *slot) {
+				if to == nil && f.spoiled(s) && fits(s) {
+					to = s
+					extra[s.mc]++
+				}
+			})
+		}
+		if to == nil {
+			return nil
+		}
+		taken[to] = taken[to].Plus(need)
+	}
+	for mc, k := range extra {
+		forServices[mc] += k
+	}
+	return v.mc
+}
+
 // suitsGPUWork tells whether work that uses GPUs, as it was seen, fits a slot.
 func (f *Fleet) suitsGPUWork(s *slot) bool {
 	for _, c := range f.classes {
--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -68,6 +68,10 @@
 	// LowMay are the machines with GPUs that low work may use.
 	LowMay map[*model.Machine]bool
 
+	// Vacate is a machine whose replicas are to move, or nil.
+	Vacate *model.Machine
+	moved  model.Time
+
 	service float64                 // the most CPUs that a service task takes
 	claims  map[*model.Machine]Room // room kept for waiting urgent work this round
 	shapes  map[int32]Room          // largest need seen of each class that uses GPUs
@@ -160,6 +164,39 @@
 		active = active[n:]
 	}
 	s.evacuate(m, now, do)
+	s.vacate(m, jobs, now, do)
+}
+
+// moveEvery paces the moves of replicas, each of which is down for a moment.
+const moveEvery = model.Time(600e6)
+
+// vacate moves one replica off the machine that is to be emptied, to where its
+// image is already, and only while no other replica waits.
+func (s *Sched) vacate(m *model.Model, jobs []*model.Job, now model.Time, do Doer) {
+	if s.Vacate == nil || m.Machines[s.Vacate.ID] != s.Vacate || now-s.moved < moveEvery {
+		return
+	}
+	for _, j := range jobs {
+		if j.Kind == model.Service && j.Waiting() > 0 {
+			return
+		}
+	}
+	for _, r := range s.Vacate.Runs {
+		j := r.Job
+		if j.Kind != model.Service || !r.Wanted() || r.Phase != model.Running {
+			continue
+		}
+		t := s.newTurn(m, j)
+		for i := range t.cands {
+			c := &t.cands[i]
+			if c.mc != s.Vacate && c.mc.Has(j.Image) && s.hasRoom(m, j, c.mc, Need(j)) &&
+				(c.mc.Zone == r.Machine.Zone || j.ZoneAllows(c.mc.Zone)) {
+				s.moved = now
+				do.Stop(r, false, "its machine is to be returned")
+				return
+			}
+		}
+	}
 }
 
 // turns lets the jobs of a tier take turns, a task each, until none can go on.
