Take jobs without the leader, through guarded intake records

A node that has read the log now writes the job under its own key; the leader enters it into the log. Whoever calls a job unknown looks for its key first and at the log afterwards.

--- a/internal/controller/node.go
+++ b/internal/controller/node.go
@@ -18,6 +18,8 @@
 	"sync/atomic"
 	"time"
 
+	"golang.org/x/time/rate"
+
 	"fieldhill/internal/api"
 	"fieldhill/internal/cloud"
 	"fieldhill/internal/codec"
@@ -56,6 +58,7 @@
 	cloud  *cloud.Client
 	worker *worker.Client
 	links  map[string]*peer.Link
+	intake *rate.Limiter // of jobs taken without the leader
 	work   chan func()
 	ctx    context.Context
 
@@ -126,6 +129,7 @@
 		worker: worker.New(via, 3*time.Second, max(16, p.Limits.MaxSockets/4)),
 		links:  map[string]*peer.Link{}, work: make(chan func(), 512), redirects: map[string]time.Time{},
 	}
+	n.intake = rate.NewLimiter(rate.Limit(p.State.WriteRPS*0.1), max(1, int(p.State.WriteRPS*0.2)))
 	n.oplog = oplog.New(n.state, p.State.WriteRPS, p.State.ValueKB, p.State.TxnOps, logger)
 	for _, m := range set.Members {
 		n.links[m.Node] = peer.NewLink(via, m.Node, m.Addr, logger)
@@ -353,6 +357,9 @@
 	}
 }
 
+// followFor is how long a watch waits for news.
+const followFor = 2 * time.Second
+
 // snapEvery is after how many batches the log is compacted.
 const snapEvery = 500
 
@@ -387,7 +394,7 @@
 				}
 			}
 			sent := time.Now()
-			t, err := n.oplog.Follow(ctx, rev, 2*time.Second)
+			t, err := n.oplog.Follow(ctx, rev, followFor)
 			if err != nil {
 				n.log.Debug("watch failed", "err", err)
 				pause(250 * time.Millisecond)
@@ -418,7 +425,14 @@
 			got.Leader = nil
 		}
 	}
+	last := got.SnapSeq + uint64(len(got.Batches))
 	n.ask(func() {
+		// A request may have read the log's end after this load did. The replica
+		// must not go back, or that request is given an older answer.
+		if n.loaded && n.applied >= last {
+			n.leader = got.Leader
+			return
+		}
 		n.reset()
 		now := n.now()
 		if got.SnapSeq > 0 {
@@ -509,6 +523,17 @@
 		}
 		batches, err = n.oplog.Since(ctx, after)
 	}
+	// Before anything is answered the leader knows every job that was accepted
+	// without one.
+	in, rev, ierr := n.oplog.ListIntake(ctx)
+	for ierr != nil && ctx.Err() == nil {
+		select {
+		case lost := <-errs:
+			return lost
+		case <-time.After(100 * time.Millisecond):
+		}
+		in, rev, ierr = n.oplog.ListIntake(ctx)
+	}
 	n.ask(func() {
 		for _, b := range batches {
 			if err = n.applyBatch(b); err != nil {
@@ -516,10 +541,12 @@
 			}
 		}
 		n.takeLead(r)
+		n.takeIn(r, in)
 	})
 	if err != nil {
 		return err
 	}
+	go n.watchIntake(r, rev)
 	go func() {
 		for {
 			select {
--- a/internal/controller/users.go
+++ b/internal/controller/users.go
@@ -7,7 +7,10 @@
 	"time"
 
 	"fieldhill/internal/api"
+	"fieldhill/internal/codec"
 	"fieldhill/internal/model"
+	"fieldhill/internal/mphttp"
+	"fieldhill/internal/oplog"
 	"fieldhill/internal/peer"
 	"fieldhill/wire"
 )
@@ -19,6 +22,10 @@
 // takes longer is still repeated, but its user is told at once to ask again.
 const answerWithin = 2500 * time.Millisecond
 
+// quickly bounds how long the leader is waited for where there is another way
+// to an answer.
+const quickly = 350 * time.Millisecond
+
 // inLoop runs f in the loop; f must send exactly one reply, at once or later.
 func (n *Node) inLoop(ctx context.Context, f func(send func(*peer.Reply))) *peer.Reply {
 	ch := make(chan *peer.Reply, 1)
@@ -42,7 +49,7 @@
 var noLeader = api.Later("no leader at the moment", 1)
 
 // passOn sends a request to the leader. ok is false if the leader can't be asked.
-func (n *Node) passOn(ctx context.Context, c *peer.Call) (reply *peer.Reply, ok bool) {
+func (n *Node) passOn(ctx context.Context, c *peer.Call, within time.Duration) (reply *peer.Reply, ok bool) {
 	var to string
 	n.ask(func() {
 		if n.leader != nil {
@@ -50,10 +57,10 @@
 		}
 	})
 	l := n.links[to]
-	if l == nil {
+	if l == nil || time.Since(l.Heard()) > linkFresh {
 		return nil, false
 	}
-	ctx, cancel := context.WithTimeout(ctx, answerWithin)
+	ctx, cancel := context.WithTimeout(ctx, within)
 	defer cancel()
 	r, err := l.Call(ctx, c)
 	if err != nil {
@@ -92,10 +99,127 @@
 	if n.leads() {
 		return n.submitHere(ctx, body)
 	}
-	if r, ok := n.passOn(ctx, &peer.Call{Op: peer.OpSubmit, Body: body}); ok {
+	if r, ok := n.passOn(ctx, &peer.Call{Op: peer.OpSubmit, Body: body}, quickly); ok && r.Status != http.StatusServiceUnavailable {
 		return r
 	}
-	return noLeader
+	return n.submitToIntake(ctx, body)
+}
+
+// submitToIntake takes a job without the leader, if this node is sure that the
+// log does not know it and the state service takes its record.
+func (n *Node) submitToIntake(ctx context.Context, body []byte) *peer.Reply {
+	num, err := wire.PeekJobID(body)
+	if err != nil {
+		return api.Refuse(http.StatusBadRequest, err.Error())
+	}
+	if !n.intake.Allow() || n.catchUp(ctx) != nil {
+		return noLeader
+	}
+	spec, specErr := wire.ParseJob(body)
+	var entry *model.Entry
+	reply := n.inLoop(ctx, func(send func(*peer.Reply)) {
+		if n.role != nil || !n.loaded {
+			send(noLeader)
+			return
+		}
+		if s := n.status(model.JobID(num)); s != nil {
+			send(api.Encode(http.StatusOK, s))
+			return
+		}
+		if r := n.refuse(spec, specErr); r != nil {
+			send(r)
+			return
+		}
+		entry = model.Accepted(spec, time.Now().UnixMilli())
+		send(&peer.Reply{Status: http.StatusCreated})
+	})
+	if entry == nil {
+		return reply
+	}
+	ctx, cancel := context.WithTimeout(ctx, answerWithin)
+	defer cancel()
+	if err := n.oplog.PutIntake(ctx, oplog.Intake{Job: num, Data: entry.Append(nil)}); err != nil {
+		return noLeader
+	}
+	n.log.Debug("job taken without the leader", "job", spec.ID)
+	return api.Encode(http.StatusCreated, &wire.JobStatus{ID: spec.ID, State: wire.JobPending})
+}
+
+// takeIn enters jobs of the intake into the log, and deletes their keys once the
+// log has them.
+func (n *Node) takeIn(r *role, jobs []oplog.Intake) {
+	if n.role != r || len(jobs) == 0 {
+		return
+	}
+	var done []uint64
+	seq := uint64(0)
+	for _, in := range jobs {
+		e, err := model.ReadEntry(&codec.Reader{B: in.Data})
+		if err != nil || e.Kind != model.EntryAccept || uint64(e.Job) != in.Job {
+			n.log.Error("malformed job in the intake", "job", in.Job, "err", err)
+			continue
+		}
+		done = append(done, in.Job)
+		if n.m.Jobs[e.Job] == nil && n.m.Finals[e.Job] == 0 {
+			n.propose(e)
+			n.dirty = true
+			n.log.Info("job taken up that another node accepted", "job", e.Spec.ID)
+		}
+		seq = r.seq() // whichever entry made the job known is committed by then
+	}
+	n.whenCommitted(seq, func(ok bool) {
+		if ok {
+			go func() { _ = n.oplog.DropIntake(r.ctx, &r.ld, done) }()
+		}
+	})
+}
+
+// lookIn makes sure that the leader knows a job that another node may have
+// accepted without it. It reports whether it could find out.
+func (n *Node) lookIn(ctx context.Context, num uint64) bool {
+	var r *role
+	known := false
+	n.ask(func() {
+		r = n.role
+		known = r == nil || n.m.Jobs[model.JobID(num)] != nil || n.m.Finals[model.JobID(num)] != 0
+	})
+	if known {
+		return true
+	}
+	ctx, cancel := context.WithTimeout(ctx, answerWithin)
+	defer cancel()
+	in, err := n.oplog.GetIntake(ctx, num)
+	if err != nil {
+		return false
+	}
+	if in != nil {
+		n.ask(func() { n.takeIn(r, []oplog.Intake{*in}) })
+	}
+	return true
+}
+
+// watchIntake takes up the jobs that come in while this node leads.
+func (n *Node) watchIntake(r *role, rev uint64) {
+	for r.ctx.Err() == nil {
+		next, some, err := n.oplog.WatchIntake(r.ctx, rev, 10*time.Second)
+		if err == nil && !some {
+			rev = next
+			continue
+		}
+		var all []oplog.Intake
+		if err == nil || mphttp.Code(err) == http.StatusGone {
+			all, next, err = n.oplog.ListIntake(r.ctx)
+		}
+		if err != nil {
+			select {
+			case <-r.ctx.Done():
+			case <-time.After(300 * time.Millisecond):
+			}
+			continue
+		}
+		rev = next
+		n.ask(func() { n.takeIn(r, all) })
+	}
 }
 
 func (n *Node) submitHere(ctx context.Context, body []byte) *peer.Reply {
@@ -118,29 +242,15 @@
 	if n.tellKnown(id, send) {
 		return
 	}
-	switch {
-	case specErr != nil:
-		send(api.Refuse(http.StatusBadRequest, specErr.Error()))
-		return
-	case r.stalled():
+	if specErr == nil && r.stalled() {
 		send(api.Later("the state service does not answer", 2))
 		return
-	case !n.m.TypesKnown():
-		send(api.Later("machine types are not known yet", 1))
-		return
 	}
-	if why := n.m.CanEverRun(spec); why != "" {
-		send(api.Refuse(http.StatusUnprocessableEntity, why))
-		return
-	}
-	if n.m.LiveTasks+spec.Tasks > n.maxTasks() {
-		a := api.Later("too many unfinished tasks", 10)
-		a.Status = http.StatusTooManyRequests
-		send(a)
+	if r := n.refuse(spec, specErr); r != nil {
+		send(r)
 		return
 	}
-	n.trimTypes(spec)
-	seq := n.propose(&model.Entry{Kind: model.EntryAccept, Job: id, Spec: spec, At: time.Now().UnixMilli()})
+	seq := n.propose(model.Accepted(spec, time.Now().UnixMilli()))
 	n.dirty = true
 	n.log.Debug("job accepted", "job", spec.ID, "class", spec.Class, "tasks", spec.Tasks)
 	n.whenCommitted(seq, func(ok bool) {
@@ -152,6 +262,26 @@
 	})
 }
 
+// refuse says why a job that is not known can't be taken, or nil.
+func (n *Node) refuse(spec *wire.JobSpec, specErr error) *peer.Reply {
+	switch {
+	case specErr != nil:
+		return api.Refuse(http.StatusBadRequest, specErr.Error())
+	case !n.m.TypesKnown():
+		return api.Later("machine types are not known yet", 1)
+	}
+	if why := n.m.CanEverRun(spec); why != "" {
+		return api.Refuse(http.StatusUnprocessableEntity, why)
+	}
+	if n.m.LiveTasks+spec.Tasks > n.maxTasks() {
+		a := api.Later("too many unfinished tasks", 10)
+		a.Status = http.StatusTooManyRequests
+		return a
+	}
+	n.trimTypes(spec)
+	return nil
+}
+
 // trimTypes drops names that no machine type bears, so that a record stays small.
 func (n *Node) trimTypes(spec *wire.JobSpec) {
 	if spec.Types == nil {
@@ -240,7 +370,7 @@
 	if final != nil {
 		return api.Encode(http.StatusOK, final)
 	}
-	if r, ok := n.passOn(ctx, &peer.Call{Op: peer.OpStatus, ID: id}); ok && r.Status != http.StatusServiceUnavailable {
+	if r, ok := n.passOn(ctx, &peer.Call{Op: peer.OpStatus, ID: id}, quickly); ok && r.Status != http.StatusServiceUnavailable {
 		return r
 	}
 	return n.statusFromLog(ctx, model.JobID(num))
@@ -251,6 +381,9 @@
 	if !ok {
 		return api.Refuse(http.StatusNotFound, "no such job")
 	}
+	if !n.lookIn(ctx, num) {
+		return noLeader
+	}
 	return n.inLoop(ctx, func(send func(*peer.Reply)) {
 		id := model.JobID(num)
 		if n.role != nil && n.m.Finals[id] != 0 && n.m.FinalAt(id) <= n.role.committed {
@@ -270,6 +403,15 @@
 // the log before; so a replica that has read the log after the request came
 // can't give an older answer.
 func (n *Node) statusFromLog(ctx context.Context, id model.JobID) *peer.Reply {
+	known := false
+	n.ask(func() { known = n.m.Jobs[id] != nil })
+	var in *oplog.Intake
+	if !known {
+		var err error
+		if in, err = n.oplog.GetIntake(ctx, uint64(id)); err != nil {
+			return noLeader
+		}
+	}
 	if err := n.catchUp(ctx); err != nil {
 		n.log.Debug("can't catch up", "err", err)
 		return noLeader
@@ -283,6 +425,10 @@
 			send(api.Encode(http.StatusOK, s))
 			return
 		}
+		if in != nil {
+			send(api.Encode(http.StatusOK, &wire.JobStatus{ID: wire.JobID(uint64(id)), State: wire.JobPending}))
+			return
+		}
 		send(api.Refuse(http.StatusNotFound, "no such job"))
 	})
 }
@@ -351,7 +497,7 @@
 	if n.leads() {
 		return n.cancelHere(ctx, id)
 	}
-	if r, ok := n.passOn(ctx, &peer.Call{Op: peer.OpCancel, ID: id}); ok {
+	if r, ok := n.passOn(ctx, &peer.Call{Op: peer.OpCancel, ID: id}, answerWithin); ok {
 		return r
 	}
 	return noLeader
@@ -362,6 +508,9 @@
 	if !ok {
 		return api.Refuse(http.StatusNotFound, "no such job")
 	}
+	if !n.lookIn(ctx, num) {
+		return noLeader
+	}
 	return n.inLoop(ctx, func(send func(*peer.Reply)) { n.cancel(model.JobID(num), send) })
 }
 
@@ -411,7 +560,7 @@
 func (n *Node) Ready() bool { return n.readyFlag.Load() }
 
 // linkFresh is how recent an answer must be for the leader to count as reached.
-const linkFresh = 3 * time.Second
+const linkFresh = 1500 * time.Millisecond
 
 // judgeReady decides what the load balancer is told. A short time without a
 // leader is no reason to be passed over: it passes for all nodes alike, and
@@ -420,7 +569,8 @@
 	ready := n.loaded
 	if ready && n.role == nil && n.leader != nil {
 		if l := n.links[n.leader.Node]; l != nil && time.Since(l.Heard()) > linkFresh {
-			ready = false
+			// Without the leader it can still take and tell, by the log alone.
+			ready = time.Since(n.caught) < 2*linkFresh+followFor
 		}
 	}
 	n.readyFlag.Store(ready)
--- a/internal/model/entry.go
+++ b/internal/model/entry.go
@@ -117,6 +117,12 @@
 	return e, r.Err
 }
 
+// Accepted makes the entry that accepts a job.
+func Accepted(spec *wire.JobSpec, at int64) *Entry {
+	n, _ := wire.JobNumber(spec.ID)
+	return &Entry{Kind: EntryAccept, Job: JobID(n), Spec: spec, At: at}
+}
+
 func appendInfo(b []byte, i *MachineInfo) []byte {
 	b = codec.String(b, i.Name)
 	b = codec.String(b, i.Addr)
