Tell machines what waits for the log once it is there, not in a loop of commands

Cause: a virtual-time test stood still now and then; a machine whose placement waited for the log was sent commands again as soon as the last ones were answered, without end. The referee of the tests holds an answer only against what was known when its request began.

--- a/internal/controller/node.go
+++ b/internal/controller/node.go
@@ -104,8 +104,9 @@
 	listing     bool
 	lastList    time.Time
 	releasing   bool
-	touched     map[*model.Machine]bool
-	cutUntil    map[int32]model.Time // zones that are cut off, or were until recently
+	touched     map[*model.Machine]bool // have something to be told
+	later       map[*model.Machine]bool // will have, once the log has it
+	cutUntil    map[int32]model.Time    // zones that are cut off, or were until recently
 }
 
 type snapshot struct {
@@ -344,6 +345,10 @@
 	for _, w := range ready {
 		w.fn(true)
 	}
+	for mc := range r.later {
+		r.touched[mc] = true
+	}
+	clear(r.later)
 	for mc := range r.touched {
 		n.direct(mc)
 	}
@@ -498,7 +503,7 @@
 	defer cancel()
 	r := &role{
 		ld: won.Leader, until: won.Until, batches: make(chan oplog.Batch, 1), compact: make(chan snapshot, 1),
-		pending: map[fleet.Offer]int{}, cancel: cancel, ctx: ctx, touched: map[*model.Machine]bool{}, cutUntil: map[int32]model.Time{},
+		pending: map[fleet.Offer]int{}, cancel: cancel, ctx: ctx, touched: map[*model.Machine]bool{}, later: map[*model.Machine]bool{}, cutUntil: map[int32]model.Time{},
 	}
 	errs := make(chan error, 3)
 	go func() {
--- a/internal/controller/workers.go
+++ b/internal/controller/workers.go
@@ -147,8 +147,11 @@
 		return
 	}
 	cmds := n.m.Commands(mc, r.committed, false)
-	if !n.waitsForLog(mc) {
-		delete(r.touched, mc)
+	// What waits for the log is told once it is there, not by asking again at
+	// once: that would be a loop of commands that say nothing new.
+	delete(r.touched, mc)
+	if n.waitsForLog(mc) {
+		r.later[mc] = true
 	}
 	if len(cmds) == 0 {
 		return
--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -268,6 +268,7 @@
 
 // orders executes direct commands, sometimes late: the sender has given up by then.
 func (w *Worker) orders(rw http.ResponseWriter, r *http.Request) {
+	time.Sleep(time.Millisecond)
 	body, _ := io.ReadAll(r.Body)
 	var o wire.Orders
 	if err := wire.Unmarshal(body, &o); err != nil {
--- a/internal/standin/world.go
+++ b/internal/standin/world.go
@@ -221,6 +221,7 @@
 		path = wire.PathJobs + "/" + id + wire.CancelSuffix
 	}
 	req, _ := http.NewRequest(method, "http://"+w.nodes[i].bind+path, readerOf(body))
+	before := w.Referee.Before(id)
 	resp, err := c.Do(req)
 	if err != nil {
 		return 0, nil
@@ -236,7 +237,7 @@
 			return 0, nil
 		}
 	}
-	w.Referee.Told(id, what, resp.StatusCode, &s)
+	w.Referee.Told(id, what, before, resp.StatusCode, &s)
 	return resp.StatusCode, &s
 }
 
