Serve low arrays shortest first instead of by turns

Those that can still be in time come first, shortest first; DAD's order among machines and its wait are untouched.

--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -125,6 +125,33 @@
 	return t
 }
 
+// shortFirst tells whether a job stands in the queue of low arrays, which is
+// served shortest first instead of by turns: when there is more work than room,
+// turns make every job late, and this way most are in time.
+func shortFirst(j *model.Job) bool {
+	return j.Kind == model.Array && j.Priority == model.Low && !j.Guaranteed
+}
+
+// remaining is the work of a job that is left, in CPU seconds as estimated.
+func remaining(j *model.Job) float64 {
+	return float64(len(j.Tasks)-j.Done) * max(1, j.Spec.EstimateS) * max(0.01, j.Spec.CPUs)
+}
+
+// hopeless tells whether a job is past the last time that an objective sets it.
+func (s *Sched) hopeless(j *model.Job, now model.Time) bool {
+	last := -1.0
+	for _, o := range s.P.Objectives {
+		switch {
+		case o.Class != j.Spec.Class:
+		case o.Kind == "finished":
+			last = max(last, o.WithinS)
+		case o.Kind == "deadline" && j.Spec.DeadlineS != nil:
+			last = max(last, *j.Spec.DeadlineS*max(1, o.Times))
+		}
+	}
+	return last >= 0 && (now-j.Began).Seconds() > last
+}
+
 // Round places what can be placed. With tick, a DAD round has passed, and what
 // waits for a busy local machine has waited one more.
 func (s *Sched) Round(m *model.Model, now model.Time, tick bool, do Doer) {
@@ -141,7 +168,19 @@
 			active = append(active, j)
 		}
 	}
-	sort.SliceStable(active, func(i, k int) bool { return tier(active[i]) > tier(active[k]) })
+	sort.SliceStable(active, func(i, k int) bool {
+		a, b := active[i], active[k]
+		if ta, tb := tier(a), tier(b); ta != tb {
+			return ta > tb
+		}
+		if !shortFirst(a) || !shortFirst(b) {
+			return false
+		}
+		if la, lb := s.hopeless(a, now), s.hopeless(b, now); la != lb {
+			return lb
+		}
+		return remaining(a) < remaining(b)
+	})
 	s.service = 0
 	for _, j := range jobs {
 		if j.Kind == model.Service {
@@ -157,7 +196,7 @@
 	}
 	for len(active) > 0 {
 		n := 1
-		for n < len(active) && tier(active[n]) == tier(active[0]) {
+		for n < len(active) && tier(active[n]) == tier(active[0]) && !shortFirst(active[0]) {
 			n++
 		}
 		s.turns(m, active[:n], now, tick, do)
--- a/internal/sched/sched_test.go
+++ b/internal/sched/sched_test.go
@@ -216,3 +216,18 @@
 		t.Errorf("%d replicas and %d low tasks are placed", web.Live, low.Live)
 	}
 }
+
+// TestShortArraysFirst: when room is short, low arrays are served shortest first,
+// and what is late for good comes last.
+func TestShortArraysFirst(t *testing.T) {
+	w := newWorld(t, 1)
+	s := New(Params{Beta: 0.8, Threshold: 0.5, Objectives: []config.Objective{{Kind: "finished", Class: "c", WithinS: 100, Share: 0.9}}})
+	late := w.submit(1, nil)
+	late.Began = -200e9
+	long := w.submit(2, func(s *wire.JobSpec) { s.Tasks, s.EstimateS = 20, 30 })
+	short := w.submit(3, func(s *wire.JobSpec) { s.Tasks, s.EstimateS = 3, 30 })
+	s.Round(w.m, 0, true, w)
+	if short.Live != 3 || long.Live != 1 || late.Live != 0 {
+		t.Errorf("placed %d of the short, %d of the long, %d of the late job", short.Live, long.Live, late.Live)
+	}
+}
