--- a/internal/controller/node.go
+++ b/internal/controller/node.go
@@ -376,13 +376,18 @@
 		case <-time.After(d):
 		}
 	}
+	failing := false
 	for ctx.Err() == nil {
 		rev, err := n.load(ctx)
 		if err != nil {
-			n.log.Warn("can't read the log", "err", err)
+			if !failing { // once for an outage, not for every try
+				n.log.Warn("can't read the log, trying on", "err", err)
+			}
+			failing = true
 			pause(300 * time.Millisecond)
 			continue
 		}
+		failing = false
 		for ctx.Err() == nil {
 			var leader *oplog.Leader
 			n.ask(func() { leader = n.leader })
