--- a/internal/controller/house.go
+++ b/internal/controller/house.go
@@ -79,7 +79,6 @@
 }
 
 func (n *Node) list(r *role) {
-	began := n.now()
 	go func() {
 		list, err := n.cloud.List(r.ctx)
 		n.post(func() {
@@ -92,7 +91,7 @@
 				return
 			}
 			for i := range list {
-				n.listed(&list[i], began)
+				n.listed(&list[i])
 			}
 		})
 	}()
@@ -100,7 +99,7 @@
 
 // listed takes in a row of the machine list. The list lags, so only three things
 // are taken from it: machines nobody knew, machines that failed, and addresses.
-func (n *Node) listed(l *wire.ListedMachine, began model.Time) {
+func (n *Node) listed(l *wire.ListedMachine) {
 	if n.m.Tombs[l.Name] {
 		return
 	}
@@ -114,7 +113,6 @@
 	if mc.Info.Addr == "" {
 		mc.Info.Addr = l.Addr
 	}
-	mc.Listed = l.State
 	if l.State == wire.MachineFailed {
 		n.giveUp(mc, "the cloud lists it as failed")
 	}
--- a/internal/controller/workers.go
+++ b/internal/controller/workers.go
@@ -217,7 +217,7 @@
 		return
 	}
 	n.log.Info("stopping a task", "task", wire.TaskID(uint64(r.Job.ID), int(r.Task)), "machine", r.Machine.Info.Name, "why", why)
-	r.Stop, r.Hard, r.StopAt = true, hard, n.now()
+	r.Stop, r.Hard = true, hard
 	n.touch(r.Machine)
 	if !r.Machine.Sending {
 		n.direct(r.Machine)
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -68,9 +68,7 @@
 	spot     bool
 	spread   bool
 	imageGB  float64
-	seen     int
 	burst    float64 // largest job
-	lastSeen model.Time
 	window   float64
 }
 
@@ -163,7 +161,7 @@
 		// What is there at the start says nothing of how often jobs come.
 		for _, j := range jobs {
 			f.seen[j.ID] = true
-			f.note(j, now, false)
+			f.note(j, false)
 		}
 		return
 	}
@@ -175,7 +173,7 @@
 	for _, j := range jobs {
 		if !f.seen[j.ID] {
 			f.seen[j.ID] = true
-			f.note(j, now, true)
+			f.note(j, true)
 		}
 	}
 	if len(f.seen) > 4*len(m.Jobs)+1000 {
@@ -187,7 +185,7 @@
 	}
 }
 
-func (f *Fleet) note(j *model.Job, now model.Time, arrived bool) {
+func (f *Fleet) note(j *model.Job, arrived bool) {
 	c := f.classes[j.Class]
 	if c == nil {
 		c = &class{tasks: float64(len(j.Tasks)), busy: j.Spec.EstimateS}
@@ -196,11 +194,9 @@
 	c.kind, c.need, c.types, c.zone, c.spot = j.Kind, sched.Need(j), j.Types, j.Zone, j.Spec.Spot
 	c.spread = j.Spec.Spread
 	c.imageGB = max(j.Spec.ImageGB, 0.8*c.imageGB)
-	c.seen++
 	c.tasks += (float64(len(j.Tasks)) - c.tasks) * 0.1
 	c.busy += (j.Spec.EstimateS - c.busy) * 0.1
 	c.burst = max(c.burst*0.98, float64(len(j.Tasks)))
-	c.lastSeen = now
 	if arrived {
 		c.window += float64(len(j.Tasks))
 	}
--- a/internal/model/model.go
+++ b/internal/model/model.go
@@ -181,10 +181,9 @@
 	Seq       uint64 // the log's sequence number of its placement
 	Phase     Phase
 	PlacedAt  Time
-	StartedAt Time // when it was first seen running
-	Stop      bool // it is to be stopped
-	Hard      bool // without saving
-	StopAt    Time
+	StartedAt Time   // when it was first seen running
+	Stop      bool   // it is to be stopped
+	Hard      bool   // without saving
 	Inherited bool   // placed by an earlier leader, whose commands may be under way
 	answerSeq uint64 // the report whose answer carried its start; 0: none under way
 	seen      uint64
@@ -222,18 +221,17 @@
 
 // Machine is a rented machine that is not evidently gone.
 type Machine struct {
-	ID      MachineID
-	Info    MachineInfo
-	Type    int32
-	Zone    int32
-	Spot    bool
-	At      int64 // time of day when the log first named it, ms
-	Runs    []*Run
-	CPUs    float64 // in use
-	GPUs    float64
-	Mem     float64
-	cache   []cached
-	SeenSeq uint64 // log sequence number of its entry
+	ID    MachineID
+	Info  MachineInfo
+	Type  int32
+	Zone  int32
+	Spot  bool
+	At    int64 // time of day when the log first named it, ms
+	Runs  []*Run
+	CPUs  float64 // in use
+	GPUs  float64
+	Mem   float64
+	cache []cached
 
 	// What the leader observes.
 	Session    uint64
@@ -250,10 +248,9 @@
 	IdleSince  Time
 	Failures   int // errors since the last completion
 	FailedJobs map[JobID]bool
-	Listed     string // the cloud's state for it
-	Sending    bool   // a direct command is under way
-	Probing    bool   // it is being asked how it is
-	NoDirect   bool   // the last direct command got no answer
+	Sending    bool // a direct command is under way
+	Probing    bool // it is being asked how it is
+	NoDirect   bool // the last direct command got no answer
 	unsure     map[runKey]underway
 	dead       []deadTask
 	obs        uint64
@@ -485,7 +482,7 @@
 		}
 		m.settle(j)
 	case EntryMachine:
-		m.addMachine(e, seq, now)
+		m.addMachine(e, now)
 	case EntryGone:
 		m.removeMachine(e.Machine, now)
 	case EntryType:
@@ -625,13 +622,13 @@
 	}
 }
 
-func (m *Model) addMachine(e *Entry, seq uint64, now Time) {
+func (m *Model) addMachine(e *Entry, now Time) {
 	if m.ByName[e.Info.Name] != nil || m.Machines[e.Machine] != nil {
 		return
 	}
 	mc := &Machine{
 		ID: e.Machine, Info: *e.Info, Type: m.typeAt(e.Info.Type), Zone: m.Zones.ID(e.Info.Zone), Spot: e.Info.Spot,
-		At: e.At, SeenSeq: seq, KnownSince: now, IdleSince: now,
+		At: e.At, KnownSince: now, IdleSince: now,
 	}
 	m.Machines[mc.ID] = mc
 	m.ByName[mc.Info.Name] = mc
--- a/internal/model/snapshot.go
+++ b/internal/model/snapshot.go
@@ -115,7 +115,7 @@
 		if r.Err != nil {
 			return r.Err
 		}
-		m.addMachine(e, seq, now)
+		m.addMachine(e, now)
 		mc := m.Machines[e.Machine]
 		for range r.Max(uint64(len(b))) {
 			mc.cache = append(mc.cache, cached{m.Images.ID(r.String()), r.Float(), now})
