Let log entries that nobody waits for gather, and compact with what is left over

Cause: the leader wrote batches as fast as the state service's budget allows, each with a few entries, and deletions of old batches took as much again, eight at a time.

Change: submissions, cancellations and placements of high work are written at once and take along what is there; the rest gathers for up to 250 ms. An accepted job goes ahead of queued bulk: nothing queued speaks of it. Compaction waits for spare budget, with a bound.

Test: writes a second and the time of a submission under a load of short low work.

--- a/internal/controller/node.go
+++ b/internal/controller/node.go
@@ -90,6 +90,8 @@
 	writing     bool
 	wroteAt     time.Time
 	queue       [][]byte // batches not yet handed to the writer; the last one grows
+	urgent      bool     // the queue holds what somebody waits for
+	queuedAt    time.Time
 	batches     chan oplog.Batch
 	waiters     []waiter
 	placeFrom   time.Time
@@ -231,6 +233,8 @@
 	defer house.Stop()
 	wake := time.NewTimer(time.Hour)
 	defer wake.Stop()
+	gathered := time.NewTimer(time.Hour)
+	defer gathered.Stop()
 	armed := false
 	for {
 		select {
@@ -255,12 +259,16 @@
 		case <-wake.C:
 			armed = false
 			n.round(false)
+		case <-gathered.C:
 		}
 		if n.dirty && !armed {
 			armed = true
 			wake.Reset(max(0, n.gap-time.Since(n.lastRound)))
 		}
 		n.flush()
+		if r := n.role; r != nil && !r.writing && len(r.queue) > 0 {
+			gathered.Reset(max(0, gather-time.Since(r.queuedAt)))
+		}
 	}
 }
 
@@ -282,18 +290,50 @@
 func (n *Node) propose(e *model.Entry) uint64 {
 	r := n.role
 	b := e.Append(nil)
+	if len(r.queue) == 0 {
+		r.queuedAt = time.Now()
+	}
 	if k := len(r.queue); k == 0 || len(r.queue[k-1])+len(b) > n.oplog.MaxData() {
 		r.queue = append(r.queue, nil)
 	}
 	k := len(r.queue) - 1
+	if e.Kind == model.EntryAccept {
+		// Its user waits, and nothing that is queued speaks of it: it goes ahead
+		// of bulk.
+		for i := range r.queue {
+			if len(r.queue[i])+len(b) <= n.oplog.MaxData() {
+				k = i
+				break
+			}
+		}
+	}
 	r.queue[k] = append(r.queue[k], b...)
-	seq := r.seq()
+	seq := r.seq() - uint64(len(r.queue)-1-k)
+	r.urgent = r.urgent || n.isUrgent(e)
 	if err := n.m.Apply(e, seq, n.now()); err != nil {
 		n.log.Error("entry does not apply", "err", err)
 	}
 	return seq
 }
 
+// isUrgent tells whether somebody waits for an entry: a user for an answer, or
+// work of high priority for its start. The rest may gather for a while, so that
+// the few changes a second that the state service takes carry more, and are left
+// for what is urgent.
+func (n *Node) isUrgent(e *model.Entry) bool {
+	switch e.Kind {
+	case model.EntryAccept, model.EntryCancel:
+		return true
+	case model.EntryPlace:
+		j := n.m.Jobs[e.Job]
+		return j != nil && j.Priority >= model.High
+	}
+	return false
+}
+
+// gather is how long entries that are not urgent may wait for others.
+const gather = 250 * time.Millisecond
+
 // whenCommitted runs fn once a batch is in the log, or with false once it is
 // known that this node can't tell.
 func (n *Node) whenCommitted(seq uint64, fn func(ok bool)) {
@@ -315,9 +355,14 @@
 	if r == nil || r.writing || len(r.queue) == 0 {
 		return
 	}
+	if !r.urgent && len(r.queue) == 1 && time.Since(r.queuedAt) < gather {
+		return
+	}
 	b := oplog.Batch{Seq: r.committed + 1, Term: r.ld.Term, Data: r.queue[0]}
 	r.queue = r.queue[1:]
 	r.writing, r.wroteAt = true, time.Now()
+	r.queuedAt = r.wroteAt
+	r.urgent = r.urgent && len(r.queue) > 0 // more of it may be there
 	r.batches <- b
 }
 
--- a/internal/controller/world_test.go
+++ b/internal/controller/world_test.go
@@ -362,3 +362,32 @@
 		}
 	}
 }
+
+// TestLogLeavesRoom: ends and placements of low work gather, and a compaction
+// takes what is left over, so that a submission finds the log free. The log used
+// to be written as often as the state service allows, at any load.
+func TestLogLeavesRoom(t *testing.T) {
+	inWorld(t, 11, func(w *standin.World) {
+		time.Sleep(6 * time.Second)
+		for i := range 6 {
+			w.Submit(spec(100+i, wire.Array, 60, 3))
+		}
+		time.Sleep(40 * time.Second) // machines boot
+		before, _ := w.State.Load()
+		const span = 20
+		for i := range span {
+			began := time.Now()
+			if c := w.Submit(spec(200+i, wire.Array, 1, 1)); c != 201 {
+				t.Errorf("submission got %d", c)
+			}
+			if d := time.Since(began); d > 150*time.Millisecond {
+				t.Errorf("a submission took %v", d)
+			}
+			time.Sleep(time.Until(began.Add(time.Second)))
+		}
+		after, _ := w.State.Load()
+		if per := float64(after-before) / span; per > 8 {
+			t.Errorf("%.1f writes a second for one submission a second and low work", per)
+		}
+	})
+}
--- a/internal/oplog/oplog.go
+++ b/internal/oplog/oplog.go
@@ -99,7 +99,7 @@
 	// Room is kept below the write rate for the election of the next leader.
 	r := writeRPS * 0.85
 	return &Log{
-		svc: svc, writes: rate.NewLimiter(rate.Limit(r), max(3, int(r/2))), logger: logger,
+		svc: svc, writes: rate.NewLimiter(rate.Limit(r), max(3, int(r*0.7))), logger: logger,
 		maxData: max(256, (int(valueKB*1024)-200)/4*3), txnOps: txnOps,
 	}
 }
@@ -389,7 +389,7 @@
 	}
 	l.snapSeq, l.oldParts = seq, keys
 	for len(old) > 0 {
-		n := min(len(old), min(l.txnOps, l.writes.Burst()))
+		n := min(len(old), l.txnOps, l.writes.Burst()/2)
 		t := &wire.Txn{If: []wire.Guard{guard}}
 		for _, k := range old[:n] {
 			t.Then = append(t.Then, wire.Write{Delete: k})
@@ -402,17 +402,20 @@
 	return nil
 }
 
-// paced spreads the work of a compaction over time, so that user-facing writes
-// find room in the budget: it takes at most a quarter of it.
+// paced does the work of a compaction, which nobody waits for: it takes only what
+// the budget has left over, so that a batch for which users wait finds room at
+// once. When little is ever left over it goes on slowly all the same, or the log
+// would grow without bound.
 func (l *Log) paced(ctx context.Context, t *wire.Txn, conflict func([]string) error) error {
-	if err := l.commit(ctx, t, conflict); err != nil {
-		return err
-	}
-	wait := time.Duration(float64(len(t.Then)) * 4 / float64(l.writes.Limit()) * float64(time.Second))
-	select {
-	case <-ctx.Done():
-		return ctx.Err()
-	case <-time.After(wait):
-		return nil
+	const look, patience = 100 * time.Millisecond, 3 * time.Second
+	need := float64(min(len(t.Then), l.writes.Burst()))
+	spare := min(float64(l.writes.Burst()), need+float64(l.writes.Burst())/2)
+	for waited := time.Duration(0); l.writes.Tokens() < spare && waited < patience; waited += look {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-time.After(look):
+		}
 	}
+	return l.commit(ctx, t, conflict)
 }
