Stop only what is served later, so that nothing is stopped again and again

Low work within its team's guarantee is served before gangs beyond theirs, but gangs could stop it by priority: it was placed and stopped in the same round, 25 times a second, on the machines that the gangs waited for.

Change: a job stops only runs that stand behind it in the queue.

Ruled out: LowMay flapping between plans (the same machines stayed allowed).

--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -744,7 +744,9 @@
 // mayStop tells whether a run may be stopped for a job: it is of lower priority,
 // or the job is within its team's guarantee and the run's team is beyond its own.
 func mayStop(r *model.Run, j *model.Job) bool {
-	if r.Job == j || !r.Wanted() || r.Job.Kind == model.Service {
+	if r.Job == j || !r.Wanted() || r.Job.Kind == model.Service || tier(r.Job) >= tier(j) {
+		// What is served before the job would be placed again before it, and
+		// stopped again, round after round.
 		return false
 	}
 	if r.Job.Priority < j.Priority {
--- a/internal/sched/sched_test.go
+++ b/internal/sched/sched_test.go
@@ -321,3 +321,20 @@
 		t.Errorf("%d tasks were placed in the room that one left", len(w.placed)-placed)
 	}
 }
+
+// TestNoRoomFromWhatGoesFirst: a job of high priority beyond its team's guarantee
+// does not stop low work within one, which is served before it: that was placed
+// again and stopped again many times a second.
+func TestNoRoomFromWhatGoesFirst(t *testing.T) {
+	w := newWorld(t, 1)
+	s := New(Params{Beta: 0.8, Threshold: 0.5})
+	low := w.submit(1, func(s *wire.JobSpec) { s.Tasks, s.CPUs, s.MemoryGB = 4, 1, 2 }) // blue: 4 of 8 CPUs guaranteed
+	high := w.submit(2, func(s *wire.JobSpec) { s.Shape, s.Team, s.Priority, s.CPUs, s.Tasks = wire.Gang, "red", wire.High, 4, 3 })
+	one := w.submit(3, func(s *wire.JobSpec) { s.Shape, s.Team, s.Priority, s.CPUs = wire.Gang, "red", wire.High, 4 })
+	for i := range 5 {
+		s.Round(w.m, model.Time(100+i)*1e9, true, w)
+	}
+	if low.Live != 4 || len(w.stopped) != 0 || high.Live+one.Live != 0 {
+		t.Errorf("%d low tasks are placed, %v were stopped", low.Live, w.stopped)
+	}
+}
