Keep the election ahead of the polls that a moment without a leader brings

Polls that no leader answers read the log's end; those that waited for a shared read began one each when it ended, and used up the node's share of the state service's rate. The election and the watch waited behind them.

Change: a request that waited for a read which began after it came is done. Reads for users take at most half of the budget and three connections; the watch, the election and the log always find the rest.

--- a/internal/controller/node.go
+++ b/internal/controller/node.go
@@ -78,8 +78,7 @@
 
 	readyFlag atomic.Bool
 	catchMu   sync.Mutex
-	catching  chan struct{}
-	catchErr  error
+	catching  *catch
 }
 
 // role is what a leader has.
--- a/internal/controller/users.go
+++ b/internal/controller/users.go
@@ -186,9 +186,7 @@
 	if known {
 		return true
 	}
-	ctx, cancel := context.WithTimeout(ctx, answerWithin)
-	defer cancel()
-	in, err := n.oplog.GetIntake(ctx, num)
+	in, err := n.getIntake(ctx, num)
 	if err != nil {
 		return false
 	}
@@ -408,7 +406,7 @@
 	var in *oplog.Intake
 	if !known {
 		var err error
-		if in, err = n.oplog.GetIntake(ctx, uint64(id)); err != nil {
+		if in, err = n.getIntake(ctx, uint64(id)); err != nil {
 			return noLeader
 		}
 	}
@@ -436,28 +434,46 @@
 // catchUp reads the log's end. Requests that come while a read is under way
 // share the next one, because that one begins after they came.
 func (n *Node) catchUp(ctx context.Context) error {
-	for range 2 {
+	for turn := 0; ; turn++ {
 		n.catchMu.Lock()
-		if n.catching == nil {
-			done := make(chan struct{})
-			n.catching = done
+		c := n.catching
+		if c == nil {
+			c = &catch{done: make(chan struct{})}
+			n.catching = c
 			n.catchMu.Unlock()
-			err := n.readEnd(ctx)
+			// Others wait for this read too, so it does not end with this request.
+			c.err = n.state.ForUser(n.ctx, answerWithin, n.readEnd)
 			n.catchMu.Lock()
-			n.catching, n.catchErr = nil, err
+			n.catching = nil
 			n.catchMu.Unlock()
-			close(done)
-			return err
+			close(c.done)
+			return c.err
 		}
-		wait := n.catching
 		n.catchMu.Unlock()
 		select {
-		case <-wait:
+		case <-c.done:
 		case <-ctx.Done():
 			return ctx.Err()
 		}
+		if turn > 0 { // it began after the request came
+			return c.err
+		}
 	}
-	return n.readEnd(ctx)
+}
+
+// catch is a read of the log's end that is under way.
+type catch struct {
+	done chan struct{}
+	err  error
+}
+
+// getIntake looks for a job that waits for the leader, for a user.
+func (n *Node) getIntake(ctx context.Context, job uint64) (in *oplog.Intake, err error) {
+	err = n.state.ForUser(ctx, answerWithin, func(ctx context.Context) error {
+		in, err = n.oplog.GetIntake(ctx, job)
+		return err
+	})
+	return in, err
 }
 
 var errNotLoaded = errors.New("controller: the log is not read yet")
--- a/internal/controller/world_test.go
+++ b/internal/controller/world_test.go
@@ -391,3 +391,46 @@
 		}
 	})
 }
+
+// TestElectionUnderPolls: the polls of a moment without a leader do not hold up the
+// election of the next one. Each used to read the log's end for itself, and the
+// election waited behind them in this node's share of the state service's rate.
+func TestElectionUnderPolls(t *testing.T) {
+	inWorld(t, 12, func(w *standin.World) {
+		time.Sleep(6 * time.Second)
+		for i := range 40 {
+			s := spec(300+i, wire.Service, 1, 0)
+			s.Priority, s.Class, s.CPUs = wire.Production, "web", 0.1
+			w.Submit(s)
+		}
+		time.Sleep(20 * time.Second)
+		w.State.SetSlow(40 * time.Millisecond)
+		for i := range 3 { // one of them leads
+			w.Crash(i)
+			ctx, stop := context.WithCancel(context.Background())
+			for k := range 300 { // users poll on while there is no leader
+				go func() {
+					time.Sleep(time.Duration(k) * 3 * time.Millisecond)
+					for ctx.Err() == nil {
+						w.CallAt((i+1+k%2)%3, "poll", wire.JobID(uint64(300+k%40)), nil)
+						time.Sleep(time.Second)
+					}
+				}()
+			}
+			began := time.Now()
+			for { // cancellations need the leader
+				code, _ := w.CallAt((i+1)%3, "cancel", wire.JobID(uint64(300+i)), nil)
+				if code == 200 {
+					break
+				}
+				time.Sleep(100 * time.Millisecond)
+			}
+			if d := time.Since(began); d > 4500*time.Millisecond {
+				t.Errorf("no leader for %v after node %d ended", d, i)
+			}
+			stop()
+			w.Start(i)
+			time.Sleep(10 * time.Second)
+		}
+	})
+}
--- a/internal/sched/sched_test.go
+++ b/internal/sched/sched_test.go
@@ -329,7 +329,9 @@
 	w := newWorld(t, 1)
 	s := New(Params{Beta: 0.8, Threshold: 0.5})
 	low := w.submit(1, func(s *wire.JobSpec) { s.Tasks, s.CPUs, s.MemoryGB = 4, 1, 2 }) // blue: 4 of 8 CPUs guaranteed
-	high := w.submit(2, func(s *wire.JobSpec) { s.Shape, s.Team, s.Priority, s.CPUs, s.Tasks = wire.Gang, "red", wire.High, 4, 3 })
+	high := w.submit(2, func(s *wire.JobSpec) {
+		s.Shape, s.Team, s.Priority, s.CPUs, s.Tasks = wire.Gang, "red", wire.High, 4, 3
+	})
 	one := w.submit(3, func(s *wire.JobSpec) { s.Shape, s.Team, s.Priority, s.CPUs = wire.Gang, "red", wire.High, 4 })
 	for i := range 5 {
 		s.Round(w.m, model.Time(100+i)*1e9, true, w)
--- a/internal/standin/state.go
+++ b/internal/standin/state.go
@@ -30,6 +30,7 @@
 	most    int // most keys held at once
 
 	outage                  bool
+	took                    time.Duration // that an answer takes
 	loseAnswer, loseRequest float64       // chances that a transaction is applied, but not answered; that it is neither
 	lateBy                  time.Duration // by how much an unanswered transaction may be applied late
 }
@@ -53,7 +54,7 @@
 
 // NewState makes an empty service.
 func NewState(seed uint64) *State {
-	return &State{rng: rand.New(rand.NewPCG(seed, 1)), keys: map[string]*entry{}, leases: map[uint64]*grant{}, changed: make(chan struct{})}
+	return &State{rng: rand.New(rand.NewPCG(seed, 1)), keys: map[string]*entry{}, leases: map[uint64]*grant{}, changed: make(chan struct{}), took: 3 * time.Millisecond}
 }
 
 // SetOutage begins or ends an outage; at its end all leases have their full time.
@@ -67,6 +68,13 @@
 	}
 }
 
+// SetSlow sets how long every answer takes.
+func (s *State) SetSlow(took time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.took = took
+}
+
 // Load tells how many changes were asked for, and the most keys held at once.
 func (s *State) Load() (writes, keys int) {
 	s.mu.Lock()
@@ -163,9 +171,12 @@
 type m = map[string]any
 
 func (s *State) handle(w http.ResponseWriter, r *http.Request) {
-	time.Sleep(3 * time.Millisecond)
 	body, _ := io.ReadAll(r.Body)
 	s.mu.Lock()
+	took := s.took
+	s.mu.Unlock()
+	time.Sleep(took)
+	s.mu.Lock()
 	if s.outage && r.URL.Path != wire.PathFollow {
 		s.mu.Unlock()
 		answer(w, 503, m{"error": "trouble"})
--- a/internal/statesvc/statesvc.go
+++ b/internal/statesvc/statesvc.go
@@ -22,12 +22,37 @@
 	http   *mphttp.Client
 	addr   string
 	budget *rate.Limiter
+	users  *rate.Limiter
+	slots  chan struct{}
 }
 
+// atOnce is how many reads for users may be under way together: the connections
+// are few, and the lead and the log need some at any time.
+const atOnce = 3
+
 // New makes a client that sends at most rps requests a second. Renewals of a
 // lease are not held back by the budget.
 func New(via host.Net, addr string, rps float64) *Client {
-	return &Client{http: mphttp.New(via, 8, 8, 2*time.Second), addr: addr, budget: rate.NewLimiter(rate.Limit(rps), max(1, int(rps)))}
+	return &Client{http: mphttp.New(via, 8, 8, 2*time.Second), addr: addr, budget: rate.NewLimiter(rate.Limit(rps), max(1, int(rps))),
+		users: rate.NewLimiter(rate.Limit(rps/2), max(1, int(rps/4))), slots: make(chan struct{}, atOnce)}
+}
+
+// ForUser runs a read that a user's request needs, within the part of the budget
+// that users may take. Without it the polls of a moment without a leader use up
+// the budget, and the election of the next one waits behind them.
+func (c *Client) ForUser(ctx context.Context, within time.Duration, read func(context.Context) error) error {
+	ctx, cancel := context.WithTimeout(ctx, within)
+	defer cancel()
+	if err := c.users.Wait(ctx); err != nil {
+		return err
+	}
+	select {
+	case c.slots <- struct{}{}:
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+	defer func() { <-c.slots }()
+	return read(ctx)
 }
 
 func (c *Client) do(ctx context.Context, method, path string, in, out any, timeout time.Duration) error {
