Take jobs beside the log while the state service is slow

Cause: batches are written one after the other, since each is safe only behind the one before.

Change: when writing a batch takes long, the leader also puts the job into the intake, whose records depend on nothing, and answers with whichever is there first. The next leader would find it there. The watch on the intake deletes the record once the log has the job, as before.

Ruled out: several batches under way together, since a later one could be applied and an earlier one lost with its leader.

--- a/internal/controller/node.go
+++ b/internal/controller/node.go
@@ -88,8 +88,9 @@
 	committed   uint64
 	writing     bool
 	wroteAt     time.Time
-	queue       [][]byte // batches not yet handed to the writer; the last one grows
-	urgent      bool     // the queue holds what somebody waits for
+	slow        time.Duration // how long writing a batch takes, averaged
+	queue       [][]byte      // batches not yet handed to the writer; the last one grows
+	urgent      bool          // the queue holds what somebody waits for
 	queuedAt    time.Time
 	batches     chan oplog.Batch
 	waiters     []waiter
@@ -376,6 +377,7 @@
 		return
 	}
 	r.committed, r.writing = seq, false
+	r.slow += (time.Since(r.wroteAt) - r.slow) * 3 / 10
 	n.applied = seq
 	n.m.Forget(seq)
 	k := 0
--- a/internal/controller/users.go
+++ b/internal/controller/users.go
@@ -248,18 +248,43 @@
 		send(r)
 		return
 	}
-	seq := n.propose(model.Accepted(spec, time.Now().UnixMilli()))
+	e := model.Accepted(spec, time.Now().UnixMilli())
+	seq := n.propose(e)
 	n.dirty = true
 	n.log.Debug("job accepted", "job", spec.ID, "class", spec.Class, "tasks", spec.Tasks)
+	told := false
+	tell := func(a *peer.Reply) {
+		if !told {
+			told = true
+			send(a)
+		}
+	}
+	accepted := api.Encode(http.StatusCreated, &wire.JobStatus{ID: wire.JobID(uint64(id)), State: wire.JobPending})
 	n.whenCommitted(seq, func(ok bool) {
 		if !ok {
-			send(noLeader)
+			tell(noLeader)
 			return
 		}
-		send(api.Encode(http.StatusCreated, &wire.JobStatus{ID: wire.JobID(uint64(id)), State: wire.JobPending}))
+		tell(accepted)
 	})
+	if r.slow < slowLog {
+		return
+	}
+	// Batches are written one after the other, so with a slow state service a job
+	// waits for the one under way and for its own. A record in the intake makes it
+	// as safe, and need not wait.
+	go func() {
+		ctx, cancel := context.WithTimeout(r.ctx, answerWithin)
+		defer cancel()
+		if n.oplog.TryIntake(ctx, oplog.Intake{Job: uint64(id), Data: e.Append(nil)}) == nil {
+			n.post(func() { tell(accepted) })
+		}
+	}()
 }
 
+// slowLog is how long writing a batch takes when the state service counts as slow.
+const slowLog = 60 * time.Millisecond
+
 // refuse says why a job that is not known can't be taken, or nil.
 func (n *Node) refuse(spec *wire.JobSpec, specErr error) *peer.Reply {
 	switch {
--- a/internal/controller/world_test.go
+++ b/internal/controller/world_test.go
@@ -7,6 +7,8 @@
 	"log/slog"
 	"math/rand/v2"
 	"os"
+	"slices"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -434,3 +436,44 @@
 		}
 	})
 }
+
+// TestSlowStateService: with a slow state service a submission does not wait for
+// the batch under way and then for its own, and no job is lost or taken twice.
+func TestSlowStateService(t *testing.T) {
+	inWorld(t, 13, func(w *standin.World) {
+		time.Sleep(6 * time.Second)
+		w.Submit(spec(400, wire.Array, 40, 2)) // keeps the log busy
+		time.Sleep(20 * time.Second)
+		w.State.SetSlow(150 * time.Millisecond)
+		time.Sleep(2 * time.Second)
+		const n = 12
+		took := make([]time.Duration, 0, 2*n)
+		var mu sync.Mutex
+		var users sync.WaitGroup
+		for i := range 2 * n { // two come close together, twice a second or so
+			users.Go(func() {
+				time.Sleep(time.Duration(i/2)*650*time.Millisecond + time.Duration(i%2)*40*time.Millisecond)
+				j := spec(401+i, wire.Array, 4, 2)
+				w.Referee.Know(j)
+				b, _ := wire.Marshal(j)
+				began := time.Now()
+				if code, _ := w.Call("submit", j.ID, b); code != 201 && code != 200 {
+					t.Errorf("a submission got %d", code)
+				}
+				mu.Lock()
+				defer mu.Unlock()
+				if i%2 == 1 {
+					took = append(took, time.Since(began))
+				}
+			})
+		}
+		users.Wait()
+		slices.Sort(took)
+		if q := took[len(took)/2]; q > 200*time.Millisecond {
+			t.Errorf("half of the second ones took more than %v, a write takes 150 ms", q)
+		}
+		for i := range 2 * n {
+			waitFor(t, w, wire.JobID(uint64(401+i)), wire.JobDone, 2*time.Minute)
+		}
+	})
+}
--- a/internal/oplog/intake.go
+++ b/internal/oplog/intake.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/base64"
+	"errors"
 	"fmt"
 	"strconv"
 	"strings"
@@ -47,6 +48,17 @@
 	return err
 }
 
+// TryIntake writes a job beside the log, if the leader's budget has room for it
+// and for the deletion, and some is left for the log.
+func (l *Log) TryIntake(ctx context.Context, in Intake) error {
+	if l.writes.Tokens() < 2+float64(l.writes.Burst())/3 || !l.writes.AllowN(time.Now(), 1) {
+		return errBudget
+	}
+	return l.PutIntake(ctx, in)
+}
+
+var errBudget = errors.New("oplog: no room in the budget")
+
 // GetIntake reads a job's key; nil if there is none.
 func (l *Log) GetIntake(ctx context.Context, job uint64) (*Intake, error) {
 	it, err := l.svc.Get(ctx, keyIn(job))
