Make room for gangs of several machines, and keep it for the first in the queue

Room was made by stopping others only for gangs of one task; one of two started only if two machines of a zone happened to be free at the same moment, while those of one took each machine as it came.

Change: room is made for all members together, in the zone where it does the least harm. If there is not enough yet, the first gang in the queue keeps what it finds in one zone, without stopping anything for it, as long as enough machines are there that other gangs hold.

--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -83,6 +83,7 @@
 	full  []shape  // needs that found no free room
 	stuck []shape  // needs that found no room by stopping others either
 	pool  []victim // for victims
+	held  bool     // a gang keeps room that is too little for it
 
 	// Looked counts the machines that were looked at, for tests of what a round costs.
 	Looked int
@@ -273,7 +274,7 @@
 
 // sit lists the machines of a round.
 func (s *Sched) sit(m *model.Model) {
-	s.seats, s.full, s.stuck, s.free, s.Looked = s.seats[:0], s.full[:0], s.stuck[:0], 0, 0
+	s.seats, s.full, s.stuck, s.free, s.Looked, s.held = s.seats[:0], s.full[:0], s.stuck[:0], 0, 0, false
 	for _, mc := range m.Order {
 		t := m.TypeOf(mc)
 		if !mc.Usable() || !t.Known {
@@ -675,6 +676,8 @@
 	}
 	if n == 1 {
 		s.makeRoom(m, t, now, do)
+	} else {
+		s.makeGangRoom(m, t, n, now, do)
 	}
 }
 
@@ -862,6 +865,91 @@
 	}
 }
 
+// member is room for one more member of a gang on a machine.
+type member struct {
+	st   *seat
+	cost float64
+	runs []*model.Run // to be stopped for this and the earlier ones there
+	at   int
+}
+
+// makeGangRoom keeps room for all members of a gang, in one zone if it must be:
+// where stopping others does the least harm. If there is not enough anywhere,
+// the first gang in the queue keeps what it finds in the best zone: without
+// that, gangs of several machines would wait for as long as smaller ones come.
+func (s *Sched) makeGangRoom(m *model.Model, t *turn, n int, now model.Time, do Doer) {
+	j := t.j
+	if j.Spec.Spread {
+		return
+	}
+	zones := map[int32][]member{}
+	could := map[int32]int{} // members that find room when other gangs end
+	for i := range s.seats {
+		st := &s.seats[i]
+		if !s.suits(m, j, st, t.need) || !s.serviceMay(j, st) {
+			continue
+		}
+		zone := st.mc.Zone
+		if !j.Spec.SameZone {
+			zone = -1
+		}
+		for r := st.total.Minus(Firm(st.mc)); could[zone] < n && r.Holds(t.need); r = r.Minus(t.need) {
+			could[zone]++
+		}
+		before := 0.0
+		for k := 1.0; int(k) <= n; k++ {
+			need := Room{t.need.CPUs * k, t.need.GPUs * k, t.need.Mem * k}
+			if !st.total.Minus(Firm(st.mc)).Minus(st.claim).Holds(need) {
+				break
+			}
+			runs, cost, ok := s.victims(j, st, need, now)
+			if !ok {
+				break
+			}
+			zones[zone] = append(zones[zone], member{st, cost - before, runs, i})
+			before = cost
+		}
+	}
+	var best []member
+	bestCost := 0.0
+	for zone, list := range zones {
+		if could[zone] < n {
+			continue
+		}
+		slices.SortStableFunc(list, func(a, b member) int {
+			if c := cmp.Compare(a.cost, b.cost); c != 0 {
+				return c
+			}
+			return cmp.Compare(a.at, b.at)
+		})
+		list = list[:min(n, len(list))]
+		cost := 0.0
+		for _, o := range list {
+			cost += o.cost
+		}
+		if len(list) > len(best) || len(list) == len(best) && (cost < bestCost || cost == bestCost && list[0].at < best[0].at) {
+			best, bestCost = list, cost
+		}
+	}
+	whole := len(best) == n
+	if !whole {
+		if s.held {
+			return
+		}
+		s.held = true
+	}
+	patient := now-j.Began < s.Patience(j)
+	for _, o := range best {
+		o.st.claim = o.st.claim.Plus(t.need)
+		if whole && !patient { // nothing is stopped for a part of a gang
+			for _, r := range o.runs {
+				do.Stop(r, false, "room for "+j.Spec.ID)
+			}
+			o.st.left = false
+		}
+	}
+}
+
 type victim struct {
 	r    *model.Run
 	harm float64
