Let low work make room for replicas whose machine is to be returned

Replicas move off the emptiest such machine only to a free place with their image, and low work takes every free place within a round.

Change: if no place is free, the low work that is least harm makes one, kept for services for three seconds; then the replica moves.

Test: a machine to be emptied beside one full of low work.

--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -73,6 +73,7 @@
 	// Vacate is a machine whose replicas are to move, or nil.
 	Vacate *model.Machine
 	moved  model.Time
+	kept   map[*model.Machine]keep
 
 	service float64        // the most CPUs that a service task takes
 	shapes  map[int32]Room // largest need seen of each class that uses GPUs
@@ -96,6 +97,7 @@
 	claim Room // kept for waiting urgent work
 	leave Room // what tasks told to stop will leave
 	left  bool // leave is known
+	kept  Room // for services
 }
 
 // shape is what a job asks of a machine: jobs of the same kind of shape that
@@ -131,7 +133,9 @@
 }
 
 // New makes a scheduler.
-func New(p Params) *Sched { return &Sched{P: p, shapes: map[int32]Room{}} }
+func New(p Params) *Sched {
+	return &Sched{P: p, shapes: map[int32]Room{}, kept: map[*model.Machine]keep{}}
+}
 
 // Patience is how long a job may wait for room before others are stopped for it.
 func (s *Sched) Patience(j *model.Job) model.Time {
@@ -258,7 +262,7 @@
 			s.shapes[j.Class] = Room{max(r.CPUs, n.CPUs), max(r.GPUs, n.GPUs), max(r.Mem, n.Mem)}
 		}
 	}
-	s.sit(m)
+	s.sit(m, now)
 	q := s.queue(jobs, now)
 	for len(q) > 0 {
 		n := 1
@@ -273,8 +277,13 @@
 }
 
 // sit lists the machines of a round.
-func (s *Sched) sit(m *model.Model) {
+func (s *Sched) sit(m *model.Model, now model.Time) {
 	s.seats, s.full, s.stuck, s.free, s.Looked, s.held = s.seats[:0], s.full[:0], s.stuck[:0], 0, 0, false
+	for mc, k := range s.kept {
+		if now > k.until {
+			delete(s.kept, mc)
+		}
+	}
 	for _, mc := range m.Order {
 		t := m.TypeOf(mc)
 		if !mc.Usable() || !t.Known {
@@ -283,7 +292,11 @@
 		if t.GPUs == 0 && !mc.Spot {
 			s.free += t.CPUs - mc.CPUs
 		}
-		s.seats = append(s.seats, seat{mc: mc, total: Total(m, mc)})
+		st := seat{mc: mc, total: Total(m, mc)}
+		if len(s.kept) > 0 {
+			st.kept = s.kept[mc].room
+		}
+		s.seats = append(s.seats, st)
 	}
 }
 
@@ -309,6 +322,8 @@
 			return
 		}
 	}
+	var best option
+	var bestNeed Room
 	for _, r := range s.Vacate.Runs {
 		j := r.Job
 		if j.Kind != model.Service || !r.Wanted() || r.Phase != model.Running {
@@ -317,15 +332,42 @@
 		need := Need(j)
 		for i := range s.seats {
 			st := &s.seats[i]
-			if st.mc != s.Vacate && s.suits(m, j, st, need) && st.mc.Has(j.Image) && s.hasRoom(m, j, st, need) &&
-				(st.mc.Zone == r.Machine.Zone || j.ZoneAllows(st.mc.Zone)) {
+			if st.mc == s.Vacate || !s.suits(m, j, st, need) || !st.mc.Has(j.Image) || !s.serviceMay(j, st) ||
+				st.mc.Zone != r.Machine.Zone && !j.ZoneAllows(st.mc.Zone) {
+				continue
+			}
+			if s.hasRoom(m, j, st, need) {
 				do.Stop(r, false, "its machine is to be returned")
 				return
 			}
+			if runs, cost, ok := s.victims(j, st, need, now); ok && len(runs) > 0 && (best.st == nil || cost < best.cost) {
+				best, bestNeed = option{st: st, cost: cost, runs: runs}, need
+			}
 		}
 	}
+	if best.st == nil || len(s.kept) >= mostKept {
+		return
+	}
+	// No place with the image is free: low work makes one, which is kept until
+	// the replica moves. Otherwise replicas stayed where they are for as long as
+	// there was low work to fill every other machine.
+	s.kept[best.st.mc] = keep{bestNeed, now + keepFor}
+	for _, v := range best.runs {
+		do.Stop(v, false, "room for a replica whose machine is to be returned")
+	}
+}
+
+// keep is room on a machine that less urgent work leaves to services for a while.
+type keep struct {
+	room  Room
+	until model.Time
 }
 
+const (
+	keepFor  = model.Time(3e9)
+	mostKept = 4
+)
+
 // turns lets the jobs of a tier take turns, a task each, until none can go on.
 func (s *Sched) turns(m *model.Model, jobs []queued, now model.Time, tick bool, do Doer) {
 	open := make([]*turn, 0, len(jobs))
@@ -603,6 +645,9 @@
 	if st.claim != (Room{}) && !free.Plus(st.leaving()).Minus(st.claim).Holds(need) {
 		return false
 	}
+	if j.Priority < model.Production && st.kept != (Room{}) && !free.Minus(st.kept).Holds(need) {
+		return false
+	}
 	if total.GPUs == 0 {
 		return mc.Spot || j.Priority >= model.Production || s.free-need.CPUs >= s.Headroom
 	}
--- a/internal/sched/sched_test.go
+++ b/internal/sched/sched_test.go
@@ -380,3 +380,43 @@
 		t.Errorf("%d of 2 members are placed: %v", pair.Live, w.placed)
 	}
 }
+
+// TestVacateMakesRoom: replicas leave a machine that is to be returned although low
+// work fills every other one.
+func TestVacateMakesRoom(t *testing.T) {
+	w := newWorld(t, 2)
+	s := New(Params{Beta: 0.8, Threshold: 0.5})
+	web := w.submit(1, func(s *wire.JobSpec) { s.Shape, s.Priority = wire.Service, wire.Production })
+	s.Round(w.m, 0, true, w)
+	from, to := w.m.Machines[1], w.m.Machines[2]
+	run := web.Tasks[0].Run
+	run.Phase = model.Running
+	to.Touch(w.m, web, 0)
+	from.Draining = true // nothing else goes there
+	w.submit(2, func(s *wire.JobSpec) { s.Tasks, s.Team, s.Image = 9, "red", "j" })
+	s.Round(w.m, 10e9, true, w)
+	if len(to.Runs) != 4 {
+		t.Fatalf("low work does not fill the other machine: %v", w.placed)
+	}
+	from.Draining = false
+	s.Vacate = from
+	s.Round(w.m, 20e9, true, w)
+	if len(w.stopped) != 1 || run.Stop {
+		t.Fatalf("stopped %v", w.stopped)
+	}
+	for _, r := range to.Runs {
+		if r.Stop {
+			w.apply(&model.Entry{Kind: model.EntryEnded, Job: 2, Task: r.Task, Attempt: r.Attempt})
+			break
+		}
+	}
+	from.Draining = true
+	s.Round(w.m, 20.3e9, true, w)
+	from.Draining = false
+	if len(to.Runs) != 3 {
+		t.Fatalf("low work took the room again: %v", w.placed)
+	}
+	if s.Round(w.m, 21e9, true, w); !run.Stop {
+		t.Error("the replica was not moved to the room made for it")
+	}
+}
