--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -560,7 +560,8 @@
 				continue
 			}
 		}
-		if !ok {
+		if !ok || plain && it.standby && m.Types[o.Type].GPUs > 0 {
+			// Machines with GPUs are not rented to stand idle for work without.
 			return
 		}
 		t := &m.Types[o.Type]
