Let low work leave places where a service's image is

Change: if the free machines would fetch for longer than the service may take to start, low work stops where the image is; the service waits for that for at most 0.6 of its time.

Test: a machine full of low work that has the image, a free one that has not, and a low task that does not answer.

--- a/internal/model/model.go
+++ b/internal/model/model.go
@@ -124,6 +124,7 @@
 	// What the leader keeps for scheduling.
 	Waited     int // rounds spent waiting for a busy machine with the image
 	NotBefore  Time
+	LocalSince Time // since when room is being made where its image is; 0: it is not
 	Errors     int
 	AvoidedOn  map[MachineID]bool // machines where a task of it failed
 	Guaranteed bool
--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -140,8 +140,11 @@
 // Patience is how long a job may wait for room before others are stopped for it.
 func (s *Sched) Patience(j *model.Job) model.Time {
 	best := 30.0
+	if within, ok := s.startWithin(j); ok {
+		best = min(best, within)
+	}
 	for _, o := range s.P.Objectives {
-		if o.Kind == "wait" && o.Class == j.Spec.Class || o.Kind == "guarantee" && j.Guaranteed {
+		if o.Kind == "guarantee" && j.Guaranteed {
 			best = min(best, o.WithinS)
 		}
 	}
@@ -544,6 +547,10 @@
 		}
 		return false
 	}
+	if best.loc*s.P.Beta >= s.P.Threshold && s.localRoom(m, t, best, now, do) {
+		return false
+	}
+	j.LocalSince = 0
 	s.put(m, j, best.st, task, j.Tasks[task].Attempt+1, do)
 	best.loc = Locality(m, j, best.st.mc)
 	best.score = s.Score(best.loc, load(m, best.st.mc)) + s.misfit(m, j, best.st)
@@ -551,6 +558,71 @@
 	return true
 }
 
+// startWithin is how soon a job's tasks are to start by the objectives.
+func (s *Sched) startWithin(j *model.Job) (float64, bool) {
+	best, ok := 0.0, false
+	for _, o := range s.P.Objectives {
+		if o.Kind == "wait" && o.Class == j.Spec.Class && (!ok || o.WithinS < best) {
+			best, ok = o.WithinS, true
+		}
+	}
+	return best, ok
+}
+
+// localRoom lets low work make room for a service where its image is, when the
+// free machines would have to fetch it for longer than the service may take to
+// start. Low work that stops has left within a moment. It tells whether the
+// service should wait for that; it does so for a part of its time only.
+func (s *Sched) localRoom(m *model.Model, t *turn, free *cand, now model.Time, do Doer) bool {
+	j := t.j
+	if j.Kind != model.Service {
+		return false
+	}
+	within, ok := s.startWithin(j)
+	rate := m.TypeOf(free.st.mc).FetchGBPerS
+	if !ok || rate <= 0 || j.Spec.ImageGB/rate <= within {
+		return false
+	}
+	if j.LocalSince != 0 && now-j.LocalSince > config.Seconds(within*0.6) {
+		return false
+	}
+	z := zones{j: j}
+	inZone := map[int32]int{}
+	var opts options
+	for i := range s.seats {
+		st := &s.seats[i]
+		if !s.suits(m, j, st, t.need) || !st.mc.Has(j.Image) || !s.serviceMay(j, st) || !z.allow(st.mc.Zone) ||
+			!st.total.Minus(Firm(st.mc)).Minus(st.claim).Holds(t.need) {
+			continue
+		}
+		if runs, cost, ok := s.victims(j, st, t.need, now); ok && !slices.ContainsFunc(runs, func(r *model.Run) bool { return r.Job.Priority > model.Low }) {
+			opts = append(opts, option{st, cost, runs, i})
+		}
+	}
+	heap.Init(&opts)
+	found := false
+	for left := min(j.Waiting(), mostClaims); left > 0 && len(opts) > 0; {
+		o := heap.Pop(&opts).(option)
+		if zone := o.st.mc.Zone; j.Spec.Spread {
+			if in, _ := j.ZoneCount(zone); in+inZone[zone]+1 > (len(j.Tasks)+1)/2 {
+				continue
+			}
+			inZone[zone]++
+		}
+		found = true
+		left--
+		o.st.claim = o.st.claim.Plus(t.need)
+		for _, r := range o.runs {
+			do.Stop(r, false, "room for "+j.Spec.ID+" where its image is")
+		}
+		o.st.left = false
+	}
+	if found && j.LocalSince == 0 {
+		j.LocalSince = now
+	}
+	return found
+}
+
 // mayWait tells whether a job may wait another round for a busy local machine.
 func (s *Sched) mayWait(j *model.Job) bool {
 	return j.Kind != model.Service && j.Waited < s.P.WaitRounds
--- a/internal/sched/sched_test.go
+++ b/internal/sched/sched_test.go
@@ -420,3 +420,45 @@
 		t.Error("the replica was not moved to the room made for it")
 	}
 }
+
+// TestLowWorkLeavesWhereTheImageIs: a service that must start sooner than an image is
+// fetched gets the place of a low task on a machine that has it, and if that
+// takes too long any other place.
+func TestLowWorkLeavesWhereTheImageIs(t *testing.T) {
+	w := newWorld(t, 3)
+	s := New(Params{Beta: 0.8, Threshold: 0.5, Objectives: []config.Objective{{Kind: "wait", Class: "web", WithinS: 1, Share: 0.9}}})
+	web := func(n uint64) *model.Job {
+		return w.submit(n, func(s *wire.JobSpec) {
+			s.Class, s.Shape, s.Priority, s.Image, s.ImageGB = "web", wire.Service, wire.Production, "w", 3
+		})
+	}
+	w.submit(1, func(s *wire.JobSpec) { s.Tasks, s.Image = 4, "j" })
+	s.Round(w.m, 0, true, w)
+	full := w.m.Machines[1]
+	if len(full.Runs) != 4 {
+		t.Fatalf("placed %v", w.placed)
+	}
+	first := web(2)
+	full.Touch(w.m, first, 0)
+	s.Round(w.m, 10e9, false, w)
+	if first.Live != 0 || len(w.stopped) != 1 {
+		t.Fatalf("placed %v, stopped %v", w.placed, w.stopped)
+	}
+	for _, r := range full.Runs {
+		if r.Stop {
+			w.apply(&model.Entry{Kind: model.EntryEnded, Job: 1, Task: r.Task, Attempt: r.Attempt})
+			break
+		}
+	}
+	if s.Round(w.m, 10.2e9, false, w); first.Live != 1 || first.Tasks[0].Run.Machine != full {
+		t.Fatalf("placed %v", w.placed)
+	}
+	second := web(3)
+	s.Round(w.m, 20e9, false, w) // a low task is told to stop and does not answer
+	if s.Round(w.m, 20.3e9, false, w); second.Live != 0 || len(w.stopped) != 2 {
+		t.Fatalf("placed %v, stopped %v", w.placed, w.stopped)
+	}
+	if s.Round(w.m, 20.7e9, false, w); second.Live != 1 || second.Tasks[0].Run.Machine == full {
+		t.Errorf("after waiting in vain: placed %v", w.placed)
+	}
+}
