Take work in a zone that is cut off for gone when its leases have surely run out

Change: silent machines of a zone that is cut off are made suspect by an entry of the log. Nodes that know it don't renew their leases, nodes that don't stop at their bound, so a lease and that bound after the commit everything there is gone, and starts elsewhere; meanwhile machines for it boot. A report to the leader takes the suspicion back. A zone whose controller still reads the log is only parted from the leader: such a node says so in the state service, and its zone is left to it.

Ruled out: returning the machines to the cloud at that time, which would lose them for the time after the cut, and needs the cloud; keeping leases for longer than a cancellation allows.

--- a/internal/controller/house.go
+++ b/internal/controller/house.go
@@ -1,6 +1,7 @@
 package controller
 
 import (
+	"context"
 	"net/http"
 	"sort"
 	"strings"
@@ -10,6 +11,7 @@
 	"fieldhill/internal/fleet"
 	"fieldhill/internal/model"
 	"fieldhill/internal/mphttp"
+	"fieldhill/internal/oplog"
 	"fieldhill/wire"
 )
 
@@ -17,6 +19,7 @@
 
 func (n *Node) housekeep() {
 	n.judgeReady()
+	n.sayApart()
 	if len(n.redirects) > 1000 {
 		clear(n.redirects)
 	}
@@ -220,7 +223,8 @@
 	n.log.Info("work", "jobs", len(n.m.Jobs), "waiting", waiting)
 }
 
-// judgeMachines gives up machines that are silent, faulty or never came up.
+// judgeMachines gives up machines that are silent, faulty or never came up, and
+// takes those in a zone that is cut off for gone when their leases have run out.
 func (n *Node) judgeMachines(r *role) {
 	now := n.now()
 	silent := n.silentAfter()
@@ -243,6 +247,7 @@
 			}
 		}
 	}
+	ask := false
 	for _, mc := range n.m.Order {
 		boot := config.Seconds(max(n.m.TypeOf(mc).BootS, 10))
 		if !mc.Releasing && was(mc) && now-mc.LastReport > n.probeAfter() {
@@ -258,18 +263,131 @@
 		cut = cut || now < r.cutUntil[mc.Zone]
 		age := time.Duration(time.Now().UnixMilli()-mc.At) * time.Millisecond
 		switch {
+		case mc.Suspect && mc.Lapsed(n.set.KeepBound(), config.Seconds(n.set.Params.Workers.LeaseS), now) && len(mc.Runs) > 0:
+			n.log.Info("the lease of a suspect machine has run out", "machine", mc.Info.Name, "tasks", len(mc.Runs))
+			n.propose(&model.Entry{Kind: model.EntryLapsed, Machine: mc.ID})
+			n.dirty = true
 		case mc.Releasing:
 		case mc.Bad && len(mc.Runs) == 0:
 			n.giveUp(mc, "it is faulty")
 		case was(mc) && quiet(mc):
-			if cut && now-mc.LastReport < 100*time.Second {
+			if !cut || now-mc.LastReport >= cutPatience {
+				n.giveUp(mc, "it is silent")
 				continue
 			}
-			n.giveUp(mc, "it is silent")
+			if !mc.Suspect && len(mc.Runs) > 0 {
+				ask = true
+				if !n.goesOn(r, n.m.Zones.Name(mc.Zone)) {
+					n.suspect(mc)
+				}
+			}
 		case !was(mc) && !cut && age > 3*boot+15*time.Second && now-mc.KnownSince > silent+10*time.Second:
 			n.giveUp(mc, "it never came up")
 		}
 	}
+	if ask && !r.asking && time.Since(r.lastAsked) > apartEvery/2 {
+		n.askApart(r)
+	}
+}
+
+// cutPatience is after how long a silent machine is returned although its zone
+// looks cut off.
+const cutPatience = 100 * time.Second
+
+// suspect makes a machine suspect: its lease runs out, and then its tasks start
+// elsewhere. It is left where it is, and of use again when the cut is over.
+func (n *Node) suspect(mc *model.Machine) {
+	n.log.Info("machine in a zone that is cut off is suspect", "machine", mc.Info.Name, "zone", mc.Info.Zone, "tasks", len(mc.Runs))
+	seq := n.propose(&model.Entry{Kind: model.EntrySuspect, Machine: mc.ID})
+	n.whenCommitted(seq, func(ok bool) {
+		if ok && mc.Suspect {
+			mc.SuspectFrom = n.now()
+		}
+	})
+}
+
+// apartEvery is how often a node that does not reach the leader says so.
+const apartEvery = 5 * time.Second
+
+// apart is what the leader has seen of a node that does not reach it.
+type apart struct {
+	version uint64
+	grew    time.Time // when its record was last seen to be new
+}
+
+// goesOn tells whether work in a zone may go on without this node: a controller
+// there is reached, or reads the log and so keeps the zone's workers. Then the
+// zone is not cut off from everything, but only parted from the leader. As long
+// as that is not known, it may be so.
+func (n *Node) goesOn(r *role, zone string) bool {
+	if zone == n.set.Zone || r.lastAsked.IsZero() || time.Since(r.lastAsked) > 2*apartEvery {
+		return true
+	}
+	for _, m := range n.set.Members {
+		if m.Zone != zone {
+			continue
+		}
+		if time.Since(n.links[m.Node].Heard()) < 2*linkFresh {
+			return true
+		}
+		if a := r.apart[m.Node]; a != nil && time.Since(a.grew) < 2*apartEvery {
+			return true
+		}
+	}
+	return false
+}
+
+// askApart reads which nodes don't reach the leader.
+func (n *Node) askApart(r *role) {
+	r.asking = true
+	go func() {
+		list, err := n.oplog.Apart(r.ctx)
+		n.post(func() {
+			r.asking = false
+			if n.role != r || err != nil {
+				return
+			}
+			r.lastAsked = time.Now()
+			for _, a := range list {
+				old := r.apart[a.Node]
+				switch {
+				case old == nil:
+					r.apart[a.Node] = &apart{version: a.Version}
+					// A record seen for the first time may be old: only one that
+					// knows the log to nearly its end counts at once.
+					if a.Seq+apartLag > r.committed {
+						r.apart[a.Node].grew = time.Now()
+					}
+				case old.version != a.Version:
+					old.version, old.grew = a.Version, time.Now()
+				}
+			}
+		})
+	}()
+}
+
+// apartLag is how many batches the record of a node may lag behind the log.
+const apartLag = 100
+
+// sayApart tells the leader, by way of the state service, that this node reads the
+// log but does not reach it.
+func (n *Node) sayApart() {
+	now := time.Now()
+	if n.role != nil || !n.loaded || n.leader == nil || now.Sub(n.apartSaid) < apartEvery || now.Sub(n.caught) > 2*followFor {
+		return
+	}
+	if l := n.links[n.leader.Node]; l == nil || now.Sub(l.Heard()) < linkFresh {
+		return
+	}
+	n.apartSaid = now
+	seq := n.applied
+	go func() {
+		ctx, cancel := context.WithTimeout(n.ctx, apartEvery)
+		defer cancel()
+		if err := n.oplog.PutApart(ctx, oplog.Apart{Node: n.set.Node, Seq: seq}); err != nil {
+			n.log.Debug("can't tell that the leader is not reached", "err", err)
+		}
+	}()
 }
 
 // hire asks for machines. A request without an answer is repeated under the same
--- a/internal/controller/node.go
+++ b/internal/controller/node.go
@@ -72,6 +72,7 @@
 	leader    *oplog.Leader
 	caught    time.Time // the replica was complete then
 	redirects map[string]time.Time
+	apartSaid time.Time // when this node last told the leader that it does not reach it
 	dirty     bool
 	lastRound time.Time
 	gap       time.Duration // between rounds that events wake
@@ -110,6 +111,9 @@
 	touched     map[*model.Machine]bool // have something to be told
 	later       map[*model.Machine]bool // will have, once the log has it
 	cutUntil    map[int32]model.Time    // zones that are cut off, or were until recently
+	apart       map[string]*apart       // what was seen of nodes that this one does not reach
+	asking      bool                    // which nodes are apart
+	lastAsked   time.Time
 }
 
 type snapshot struct {
@@ -558,7 +562,7 @@
 	defer cancel()
 	r := &role{
 		ld: won.Leader, until: won.Until, batches: make(chan oplog.Batch, 1), compact: make(chan snapshot, 1),
-		pending: map[fleet.Offer]int{}, cancel: cancel, ctx: ctx, touched: map[*model.Machine]bool{}, later: map[*model.Machine]bool{}, cutUntil: map[int32]model.Time{},
+		pending: map[fleet.Offer]int{}, cancel: cancel, ctx: ctx, touched: map[*model.Machine]bool{}, later: map[*model.Machine]bool{}, cutUntil: map[int32]model.Time{}, apart: map[string]*apart{},
 	}
 	errs := make(chan error, 3)
 	go func() {
--- a/internal/controller/workers.go
+++ b/internal/controller/workers.go
@@ -48,6 +48,15 @@
 			Info: &model.MachineInfo{Name: r.Machine, Addr: r.Addr, Type: r.Type, Zone: r.Zone, Spot: r.Spot}})
 		mc = n.m.ByName[r.Machine]
 	}
+	if mc.Suspect {
+		if !n.active() {
+			return api.Later("no leader at the moment", 1)
+		}
+		// Before it is answered: from here on its lease is renewed again.
+		n.log.Info("suspect machine reports", "machine", mc.Info.Name, "session", r.Session)
+		n.propose(&model.Entry{Kind: model.EntryTrust, Machine: mc.ID})
+		n.dirty = true
+	}
 	first := !mc.Reported
 	if n.observe(mc, r, false) {
 		return api.Encode(http.StatusOK, &wire.ReportAnswer{Token: n.m.Token(mc), Commands: []wire.Command{}})
@@ -114,6 +123,9 @@
 	if time.Since(n.caught) > n.set.KeepBound() {
 		return api.Later("no leader at the moment", 1)
 	}
+	if mc := n.m.ByName[r.Machine]; mc != nil && mc.Suspect {
+		return api.Later("its lease is to run out", 1)
+	}
 	cmds := []wire.Command{}
 	for _, t := range r.Tasks {
 		num, _, ok := wire.ParseTaskID(t.Task)
--- a/internal/controller/world_test.go
+++ b/internal/controller/world_test.go
@@ -477,3 +477,54 @@
 		}
 	})
 }
+
+// TestZoneCutFromEverything: work in a zone that is cut off, its controller included,
+// goes on for the bound and ends with its workers' leases; then, and not before, it
+// starts elsewhere, and the machines are of use again after the cut.
+func TestZoneCutFromEverything(t *testing.T) {
+	inWorld(t, 14, func(w *standin.World) {
+		time.Sleep(6 * time.Second)
+		zone := "b"
+		for n := 1; n <= 7; n++ { // a machine each; three must stay in zone b
+			s := spec(n, wire.Service, 1, 0)
+			s.Priority, s.Class = wire.Production, "web"
+			if n <= 3 {
+				s.CPUs, s.Types, s.Zone = 3, []string{"small"}, &zone
+			} else {
+				s.CPUs, s.MemoryGB, s.Types, s.Team = 5, 40, []string{"large"}, "blue"
+			}
+			w.Submit(s)
+		}
+		time.Sleep(40 * time.Second)
+		starts := w.Referee.Starts()
+		cut := func(apart bool) { // zone b holds node 1
+			w.CutNode(0, 1, apart)
+			w.CutNode(1, 2, apart)
+			w.CutWorkers("b", 0, apart)
+			w.CutWorkers("b", 2, apart)
+			w.CutWorkers("a", 1, apart)
+			w.CutState(1, apart)
+		}
+		cut(true)
+		time.Sleep(35 * time.Second)
+		if k := w.Referee.Starts() - starts; k != 0 {
+			t.Errorf("%d tasks were started anew within the bound", k)
+		}
+		time.Sleep(50 * time.Second) // the zone is still cut off
+		for n := 4; n <= 7; n++ {
+			if k := w.Referee.Running(wire.JobID(uint64(n))); k != 1 {
+				t.Errorf("%d replicas of service %d run", k, n)
+			}
+		}
+		if k := w.Referee.Starts() - starts; k == 0 {
+			t.Error("no task was started elsewhere")
+		}
+		cut(false)
+		time.Sleep(40 * time.Second)
+		for n := 1; n <= 7; n++ {
+			if k := w.Referee.Running(wire.JobID(uint64(n))); k != 1 {
+				t.Errorf("after the cut %d replicas of service %d run", k, n)
+			}
+		}
+	})
+}
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -352,7 +352,7 @@
 	var out []*slot
 	for _, mc := range m.Order {
 		t := m.TypeOf(mc)
-		if !t.Known || mc.Bad || mc.Releasing || mc.Notice != 0 {
+		if !t.Known || mc.Bad || mc.Releasing || mc.Notice != 0 || mc.Suspect {
 			continue
 		}
 		total := sched.Total(m, mc)
@@ -386,12 +386,24 @@
 // items lists what wants room, most urgent first.
 func (f *Fleet) items(m *model.Model, jobs []*model.Job, now model.Time) ([]item, float64) {
 	var urgent, standby, low []item
+	// What is on suspect machines will want room elsewhere when their leases have
+	// run out; machines for it can boot meanwhile.
+	lapsing := map[*model.Job]int{}
+	for _, mc := range m.Order {
+		if mc.Suspect {
+			for _, r := range mc.Runs {
+				if r.Job.Kind != model.Array && !r.Job.Cancelled {
+					lapsing[r.Job]++
+				}
+			}
+		}
+	}
 	for _, j := range jobs {
-		n := j.Waiting()
+		n := j.Waiting() + lapsing[j]
 		if n == 0 && !yields(j) || j.Team == nil || j.Cancelled {
 			continue
 		}
-		n = min(n, teamRoom(j))
+		n = min(n, teamRoom(j)+lapsing[j])
 		it := item{need: sched.Need(j), types: j.Types, zone: j.Zone, spot: j.Spec.Spot, count: n, service: j.Kind == model.Service, rank: j.Priority}
 		it.spread(j)
 		if j.Kind != model.Array {
--- a/internal/model/entry.go
+++ b/internal/model/entry.go
@@ -20,6 +20,9 @@
 	EntryMachine                      // a machine is known
 	EntryGone                         // a machine is evidently gone
 	EntryType                         // a machine type, as the cloud describes it
+	EntrySuspect                      // from now on only the leader may renew a machine's lease
+	EntryTrust                        // a suspect machine has reported to the leader
+	EntryLapsed                       // a suspect machine's lease has surely run out, and its tasks are gone
 )
 
 // Entry is one record of the log.
@@ -65,7 +68,7 @@
 		b = codec.Uint(b, uint64(e.Machine))
 		b = codec.Uint(b, uint64(e.At))
 		b = appendInfo(b, e.Info)
-	case EntryGone:
+	case EntryGone, EntrySuspect, EntryTrust, EntryLapsed:
 		b = codec.Uint(b, uint64(e.Machine))
 	case EntryType:
 		b = appendType(b, e.Type)
@@ -107,7 +110,7 @@
 		e.Machine = MachineID(r.Max(1 << 31))
 		e.At = int64(r.Uint())
 		e.Info = readInfo(r)
-	case EntryGone:
+	case EntryGone, EntrySuspect, EntryTrust, EntryLapsed:
 		e.Machine = MachineID(r.Max(1 << 31))
 	case EntryType:
 		e.Type = readType(r)
--- a/internal/model/model.go
+++ b/internal/model/model.go
@@ -252,6 +252,10 @@
 	cache []cached
 	pulls []pull
 
+	// Suspect tells that the log forbids all nodes but the leader to renew its
+	// lease: it has long said nothing.
+	Suspect bool
+
 	// What the leader observes.
 	Session    uint64
 	ReportSeq  uint64
@@ -265,14 +269,17 @@
 	Bad        bool // distrusted
 	Releasing  bool // its return is under way
 	IdleSince  Time
-	Failures   int // errors since the last completion
-	FailedJobs map[JobID]bool
-	Sending    bool // a direct command is under way
-	Probing    bool // it is being asked how it is
-	NoDirect   bool // the last direct command got no answer
-	unsure     map[runKey]underway
-	dead       []deadTask
-	obs        uint64
+	// SuspectFrom is since when every node that may renew the lease of a suspect
+	// machine either knows of that or has a copy of the log older than this.
+	SuspectFrom Time
+	Failures    int // errors since the last completion
+	FailedJobs  map[JobID]bool
+	Sending     bool // a direct command is under way
+	Probing     bool // it is being asked how it is
+	NoDirect    bool // the last direct command got no answer
+	unsure      map[runKey]underway
+	dead        []deadTask
+	obs         uint64
 }
 
 // underway holds the tokens of direct starts: of the one that waits for its
@@ -462,7 +469,7 @@
 
 // Usable tells whether a machine may be given work.
 func (mc *Machine) Usable() bool {
-	return mc.Reported && !mc.Draining && !mc.Bad && !mc.Releasing && mc.Notice == 0
+	return mc.Reported && !mc.Draining && !mc.Bad && !mc.Releasing && mc.Notice == 0 && !mc.Suspect
 }
 
 // Apply carries out one entry of the log.
@@ -506,6 +513,15 @@
 		m.addMachine(e, now)
 	case EntryGone:
 		m.removeMachine(e.Machine, now)
+	case EntrySuspect, EntryTrust, EntryLapsed:
+		mc := m.Machines[e.Machine]
+		if mc == nil {
+			return nil
+		}
+		mc.Suspect, mc.SuspectFrom = e.Kind != EntryTrust, 0
+		if e.Kind == EntryLapsed {
+			m.dropRuns(mc, now)
+		}
 	case EntryType:
 		id := m.typeAt(e.Type.Name)
 		t := &m.Types[id]
@@ -677,6 +693,15 @@
 	m.NextMachine = max(m.NextMachine, mc.ID+1)
 }
 
+// dropRuns notes that everything on a machine is gone.
+func (m *Model) dropRuns(mc *Machine, now Time) {
+	for len(mc.Runs) > 0 {
+		r := mc.Runs[0]
+		m.dropRun(r, now)
+		m.settle(r.Job)
+	}
+}
+
 const maxTombs = 1024
 
 func (m *Model) removeMachine(id MachineID, now Time) {
@@ -684,11 +709,7 @@
 	if mc == nil {
 		return
 	}
-	for len(mc.Runs) > 0 {
-		r := mc.Runs[0]
-		m.dropRun(r, now)
-		m.settle(r.Job)
-	}
+	m.dropRuns(mc, now)
 	delete(m.Machines, id)
 	delete(m.ByName, mc.Info.Name)
 	for i, o := range m.Order {
--- a/internal/model/model_test.go
+++ b/internal/model/model_test.go
@@ -383,3 +383,42 @@
 		}
 	})
 }
+
+// TestLeaseEndIsEvidence: the tasks of a suspect machine are gone once the entry has
+// been committed for the bound and a lease, not a moment earlier; a report takes the
+// suspicion back, and a new leader counts anew.
+func TestLeaseEndIsEvidence(t *testing.T) {
+	const bound, lease = 20 * time.Second, 24 * time.Second
+	m, mc, run := small(t)
+	apply := func(k EntryKind, now Time) {
+		t.Helper()
+		if err := m.Apply(&Entry{Kind: k, Machine: 1}, 9, now); err != nil {
+			t.Fatal(err)
+		}
+	}
+	apply(EntrySuspect, 10*time.Second)
+	if mc.Lapsed(bound, lease, time.Hour) || mc.Usable() {
+		t.Error("gone before the entry was committed, or still in use")
+	}
+	mc.SuspectFrom = 11 * time.Second
+	if mc.Lapsed(bound, lease, mc.SuspectFrom+bound+lease+Time(0.9e9)) || !mc.Lapsed(bound, lease, mc.SuspectFrom+bound+lease+Time(1.2e9)) {
+		t.Error("not gone a second after the bound and the lease")
+	}
+	again := New(params())
+	if err := again.Restore(m.Snapshot(), 9, 0); err != nil {
+		t.Fatal(err)
+	}
+	again.BeginTerm(4<<24, time.Minute)
+	if o := again.Machines[1]; !o.Suspect || o.Lapsed(bound, lease, time.Minute+bound+lease) || !o.Lapsed(bound, lease, 2*time.Minute) {
+		t.Error("a new leader does not count from its own election")
+	}
+	apply(EntryTrust, 12*time.Second)
+	if mc.Lapsed(bound, lease, time.Hour) || !mc.Usable() || len(mc.Runs) != 1 {
+		t.Error("the suspicion was not taken back")
+	}
+	apply(EntrySuspect, 13*time.Second)
+	apply(EntryLapsed, time.Minute)
+	if len(mc.Runs) != 0 || m.Jobs[7].Tasks[0].State != Waiting || run.Machine.Usable() {
+		t.Error("after the lease its task does not wait again, or the machine is in use")
+	}
+}
--- a/internal/model/observe.go
+++ b/internal/model/observe.go
@@ -16,6 +16,15 @@
 //     report in flight, so it is over when the next report arrives (answerSeq);
 //   - in a command of an earlier leader (Inherited): over once the worker
 //     reports a token of this term.
+//
+// The end of a worker's lease is evidence without its word, if no node can have
+// renewed it. A machine that has long said nothing is made suspect by an entry:
+// a node that knows of it does not renew the lease, and a node whose copy of the
+// log is older stops at its bound, counted from that copy. So once the entry has
+// been committed for that bound and a lease, everything on the machine is gone;
+// a start that is still under way names a session that is over. If the leader
+// hears from the worker meanwhile it takes the suspicion back before it answers.
+// A leader counts from its own election if the entry is older.
 
 // BeginTerm makes the node that holds the model a leader: nothing observed
 // under earlier terms counts, and their commands may still be under way.
@@ -25,6 +34,9 @@
 		mc.Session, mc.ReportSeq, mc.SeenToken, mc.Bump = 0, 0, 0, 0
 		mc.Reported, mc.LastReport, mc.KnownSince, mc.Notice = false, now, now, 0
 		mc.Sending, mc.NoDirect, mc.Releasing = false, false, false
+		if mc.SuspectFrom = 0; mc.Suspect {
+			mc.SuspectFrom = now
+		}
 		mc.unsure, mc.dead = nil, nil
 		for _, r := range mc.Runs {
 			r.setPhase(Unseen)
@@ -33,6 +45,14 @@
 	}
 }
 
+// Lapsed tells whether the lease of a suspect machine has surely run out: bound is
+// how long a node may go on with an old copy of the log.
+func (mc *Machine) Lapsed(bound, lease, now Time) bool {
+	const drift = 500 // clocks differ by up to a twentieth of a per cent; four times that is allowed for
+	wait := bound + lease
+	return mc.Suspect && mc.SuspectFrom > 0 && now-mc.SuspectFrom > wait+wait/drift+Time(1e9)
+}
+
 // Token is the token under which this leader commands a machine.
 func (m *Model) Token(mc *Machine) uint64 { return m.TermBase + mc.Bump }
 
--- a/internal/model/snapshot.go
+++ b/internal/model/snapshot.go
@@ -8,7 +8,7 @@
 	"fieldhill/wire"
 )
 
-const snapshotVersion = 1
+const snapshotVersion = 2 // 1: without suspects
 
 // Snapshot writes the replicated part, in an order that depends on it alone.
 func (m *Model) Snapshot() []byte {
@@ -31,6 +31,7 @@
 		b = codec.Uint(b, uint64(mc.ID))
 		b = codec.Uint(b, uint64(mc.At))
 		b = appendInfo(b, &mc.Info)
+		b = codec.Bool(b, mc.Suspect)
 		b = codec.Uint(b, uint64(len(mc.cache)))
 		for _, c := range mc.cache {
 			b = codec.String(b, m.Images.Name(c.image))
@@ -89,7 +90,7 @@
 
 // Restore fills an empty model from a snapshot taken at a log number.
 func (m *Model) Restore(b []byte, seq uint64, now Time) error {
-	if len(b) == 0 || b[0] != snapshotVersion {
+	if len(b) == 0 || b[0] < 1 || b[0] > snapshotVersion {
 		return fmt.Errorf("model: snapshot of an unknown version")
 	}
 	r := &codec.Reader{B: b[1:]}
@@ -102,11 +103,13 @@
 	for range r.Max(uint64(len(b))) {
 		e := &Entry{Kind: EntryMachine, Machine: MachineID(r.Max(1 << 31)), At: int64(r.Uint())}
 		e.Info = readInfo(r)
+		suspect := b[0] >= 2 && r.Bool()
 		if r.Err != nil {
 			return r.Err
 		}
 		m.addMachine(e, now)
 		mc := m.Machines[e.Machine]
+		mc.Suspect = suspect
 		for range r.Max(uint64(len(b))) {
 			mc.cache = append(mc.cache, cached{m.Images.ID(r.String()), r.Float(), now})
 		}
--- a/internal/oplog/oplog.go
+++ b/internal/oplog/oplog.go
@@ -44,6 +44,7 @@
 	keyMeta   = "f/meta"
 	prefixLog = "f/log/"
 	prefixSnp = "f/snap/"
+	prefixApt = "f/apart/"
 	version   = 1
 )
 
@@ -402,6 +403,36 @@
 	return nil
 }
 
+// Apart is a node that reads the log but does not reach the leader.
+type Apart struct {
+	Node    string
+	Seq     uint64 // how far it had read the log
+	Version uint64 // of the record: it grows with each
+}
+
+// PutApart tells the leader that this node does not reach it.
+func (l *Log) PutApart(ctx context.Context, a Apart) error {
+	_, err := l.svc.Txn(ctx, &wire.Txn{Then: []wire.Write{{Put: prefixApt + a.Node, Value: &wire.LogValue{Version: version, Node: a.Node, Seq: a.Seq}}}})
+	return err
+}
+
+// Apart lists the nodes that at some time did not reach the leader.
+func (l *Log) Apart(ctx context.Context) ([]Apart, error) {
+	page, err := l.svc.Range(ctx, prefixApt, "", 1000)
+	if err != nil {
+		return nil, err
+	}
+	var out []Apart
+	for _, it := range page.Items {
+		v, _, err := decodeValue(it.Value)
+		if err != nil {
+			return nil, err
+		}
+		out = append(out, Apart{v.Node, v.Seq, it.Version})
+	}
+	return out, nil
+}
+
 // paced does the work of a compaction, which nobody waits for: it takes only what
 // the budget has left over, so that a batch for which users wait finds room at
 // once. When little is ever left over it goes on slowly all the same, or the log
--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -1164,7 +1164,7 @@
 func (s *Sched) evacuate(m *model.Model, now model.Time, do Doer) {
 	tries := 0
 	for _, mc := range m.Order {
-		if mc.Usable() || !mc.Reported || mc.Releasing {
+		if mc.Usable() || !mc.Reported || mc.Releasing || mc.Suspect {
 			continue
 		}
 		for _, r := range mc.Runs {
--- a/internal/standin/world.go
+++ b/internal/standin/world.go
@@ -59,6 +59,8 @@
 	}
 }
 
+const stateAddr = "10.2.0.1:1"
+
 // New makes a world with so many nodes, which are not started yet.
 func New(ctx context.Context, nodes int, seed uint64, start Controller) *World {
 	p := Params()
@@ -77,7 +79,7 @@
 		w.nodes = append(w.nodes, &node{name: fmt.Sprintf("n%d", i), zone: p.Zones[i%len(p.Zones)],
 			bind: fmt.Sprintf("10.0.0.%d:80", i+1), peers: fmt.Sprintf("10.0.0.%d:81", i+1)})
 	}
-	w.State.Serve(ctx, w.Net.Host("state"), "10.2.0.1:1")
+	w.State.Serve(ctx, w.Net.Host("state"), stateAddr)
 	w.Cloud.serve(ctx)
 	go func() {
 		for ctx.Err() == nil {
@@ -92,7 +94,7 @@
 func (w *World) Start(i int) {
 	nd := w.nodes[i]
 	s := &config.Settings{Node: nd.name, Zone: nd.zone, Bind: nd.bind, PeerListen: nd.peers, Params: w.Params,
-		Endpoints: config.Endpoints{Cloud: "10.2.0.2:1", State: "10.2.0.1:1"}}
+		Endpoints: config.Endpoints{Cloud: "10.2.0.2:1", State: stateAddr}}
 	for _, o := range w.nodes {
 		if o != nd {
 			s.Members = append(s.Members, config.Member{Node: o.name, Zone: o.zone, Addr: o.peers})
@@ -141,6 +143,11 @@
 	w.Net.Cut(w.nodes[b].name, w.nodes[a].peers, apart)
 }
 
+// CutState parts a node from the state service.
+func (w *World) CutState(node int, apart bool) {
+	w.Net.Cut(w.nodes[node].name, stateAddr, apart)
+}
+
 // CutWorkers parts the workers of a zone from a node.
 func (w *World) CutWorkers(zone string, node int, apart bool) {
 	for _, wk := range w.Cloud.Up() {
