Don't return a cut zone's machines as never having come up

Change: a suspect machine counts as one that was up.

Test: a cut zone with an election in it; all its machines are there afterwards.

--- a/internal/controller/house.go
+++ b/internal/controller/house.go
@@ -236,7 +236,9 @@
 		}
 		return now-mc.LastReport > limit
 	}
-	was := func(mc *model.Machine) bool { return mc.Reported || len(mc.Runs) > 0 }
+	// A suspect machine was up too, though a new leader finds nothing on it: a
+	// whole zone was returned as never having come up, just as its cut ended.
+	was := func(mc *model.Machine) bool { return mc.Reported || len(mc.Runs) > 0 || mc.Suspect }
 	for _, mc := range n.m.Order {
 		if was(mc) {
 			up[mc.Zone]++
--- a/internal/controller/world_test.go
+++ b/internal/controller/world_test.go
@@ -528,3 +528,49 @@
 		}
 	})
 }
+
+// TestCutZoneIsKept: a leader that is elected during the cut does not return the
+// machines of the zone, which are empty by the log and have not reported to it.
+func TestCutZoneIsKept(t *testing.T) {
+	inWorld(t, 15, func(w *standin.World) {
+		time.Sleep(6 * time.Second)
+		zone := "b"
+		for n := 1; n <= 4; n++ {
+			s := spec(n, wire.Service, 1, 0)
+			s.Priority, s.Class, s.CPUs, s.Types, s.Zone = wire.Production, "web", 3, []string{"small"}, &zone
+			w.Submit(s)
+		}
+		time.Sleep(40 * time.Second)
+		before := map[string]bool{}
+		for _, wk := range w.Cloud.Up() {
+			if wk.Zone == "b" && w.Referee.Holds(wk.Name) {
+				before[wk.Name] = true
+			}
+		}
+		if len(before) < 3 {
+			t.Fatalf("%d machines of the zone hold work", len(before))
+		}
+		cut := func(apart bool) { // zone b holds node 1
+			w.CutNode(0, 1, apart)
+			w.CutNode(1, 2, apart)
+			w.CutWorkers("b", 0, apart)
+			w.CutWorkers("b", 2, apart)
+			w.CutState(1, apart)
+		}
+		cut(true)
+		time.Sleep(70 * time.Second)
+		w.Crash(0)
+		w.Crash(2)
+		w.Start(0)
+		w.Start(2)
+		time.Sleep(70 * time.Second)
+		for _, wk := range w.Cloud.Up() {
+			delete(before, wk.Name)
+		}
+		if len(before) > 0 {
+			t.Errorf("machines %v were returned during the cut", before)
+		}
+		cut(false)
+		time.Sleep(40 * time.Second)
+	})
+}
--- a/internal/standin/referee.go
+++ b/internal/standin/referee.go
@@ -250,3 +250,15 @@
 	}
 	return 0
 }
+
+// Holds tells whether any task is on a machine.
+func (f *Referee) Holds(machine string) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, on := range f.on {
+		if on[machine] {
+			return true
+		}
+	}
+	return false
+}
