Pass on what users ask when this node alone has lost the state service

Change: a node that leads no more, or does not read the log, asks the other controllers one after the other; a follower that is asked takes the job by the intake, or answers from the log.

Ruled out: marking the node unhealthy, which takes the balancer two probes and a node from the users without need.

Test: each node in turn loses the state service and answers submissions, polls and cancellations.

--- a/internal/controller/users.go
+++ b/internal/controller/users.go
@@ -70,14 +70,56 @@
 	return r, true
 }
 
+// elsewhere asks the other controllers, one after the other, for what this node
+// can't answer: it leads no more, as far as it can tell, or reads the log no more,
+// while others may do both.
+func (n *Node) elsewhere(ctx context.Context, c *peer.Call) (*peer.Reply, bool) {
+	for _, m := range n.set.Members {
+		l := n.links[m.Node]
+		if time.Since(l.Heard()) > linkFresh {
+			continue
+		}
+		ctx, cancel := context.WithTimeout(ctx, 2*quickly)
+		r, err := l.Call(ctx, c)
+		cancel()
+		if err == nil && r.Status != http.StatusServiceUnavailable {
+			return r, true
+		}
+	}
+	return nil, false
+}
+
+// standing tells whether this node leads or believes so, and whether it is in
+// touch with the state service.
+func (n *Node) standing() (leads, inTouch bool) {
+	n.ask(func() {
+		leads = n.role != nil
+		inTouch = n.active() || n.role == nil && n.loaded && time.Since(n.caught) < followFor+linkFresh
+	})
+	return leads, inTouch
+}
+
 // answerPeer answers another controller.
 func (n *Node) answerPeer(ctx context.Context, c *peer.Call) *peer.Reply {
 	switch c.Op {
 	case peer.OpPing:
 		return &peer.Reply{Status: http.StatusOK}
 	case peer.OpSubmit:
-		return n.submitHere(ctx, c.Body)
+		switch leads, inTouch := n.standing(); {
+		case leads:
+			return n.submitHere(ctx, c.Body)
+		case inTouch:
+			return n.submitToIntake(ctx, c.Body)
+		}
+		return noLeader
 	case peer.OpStatus:
+		num, ok := wire.JobNumber(c.ID)
+		if leads, inTouch := n.standing(); ok && !leads {
+			if !inTouch {
+				return noLeader
+			}
+			return n.statusFromLog(ctx, model.JobID(num))
+		}
 		return n.statusHere(ctx, c.ID)
 	case peer.OpCancel:
 		return n.cancelHere(ctx, c.ID)
@@ -96,11 +138,20 @@
 	if _, err := wire.PeekJobID(body); err != nil {
 		return api.Refuse(http.StatusBadRequest, err.Error())
 	}
-	if n.leads() {
-		return n.submitHere(ctx, body)
+	call := &peer.Call{Op: peer.OpSubmit, Body: body}
+	leads, inTouch := n.standing()
+	if !leads {
+		if r, ok := n.passOn(ctx, call, quickly); ok && r.Status != http.StatusServiceUnavailable {
+			return r
+		}
 	}
-	if r, ok := n.passOn(ctx, &peer.Call{Op: peer.OpSubmit, Body: body}, quickly); ok && r.Status != http.StatusServiceUnavailable {
-		return r
+	if !inTouch {
+		if r, ok := n.elsewhere(ctx, call); ok {
+			return r
+		}
+	}
+	if leads {
+		return n.submitHere(ctx, body)
 	}
 	return n.submitToIntake(ctx, body)
 }
@@ -380,21 +431,33 @@
 	if !ok {
 		return api.Refuse(http.StatusNotFound, "no such job")
 	}
-	if n.leads() {
+	leads, inTouch := n.standing()
+	if leads && inTouch {
 		return n.statusHere(ctx, id)
 	}
 	// A final state that the replica knows can't change any more.
 	var final *wire.JobStatus
 	n.ask(func() {
-		if n.role == nil && n.m.Finals[model.JobID(num)] != 0 {
+		if (n.role == nil || n.m.FinalAt(model.JobID(num)) <= n.role.committed) && n.m.Finals[model.JobID(num)] != 0 {
 			final = n.status(model.JobID(num))
 		}
 	})
 	if final != nil {
 		return api.Encode(http.StatusOK, final)
 	}
-	if r, ok := n.passOn(ctx, &peer.Call{Op: peer.OpStatus, ID: id}, quickly); ok && r.Status != http.StatusServiceUnavailable {
-		return r
+	call := &peer.Call{Op: peer.OpStatus, ID: id}
+	if !leads {
+		if r, ok := n.passOn(ctx, call, quickly); ok && r.Status != http.StatusServiceUnavailable {
+			return r
+		}
+	}
+	if !inTouch {
+		if r, ok := n.elsewhere(ctx, call); ok {
+			return r
+		}
+	}
+	if leads {
+		return n.statusHere(ctx, id)
 	}
 	return n.statusFromLog(ctx, model.JobID(num))
 }
@@ -535,12 +598,22 @@
 	if _, ok := wire.JobNumber(id); !ok {
 		return api.Refuse(http.StatusNotFound, "no such job")
 	}
-	if n.leads() {
+	call := &peer.Call{Op: peer.OpCancel, ID: id}
+	leads, inTouch := n.standing()
+	if leads && inTouch {
 		return n.cancelHere(ctx, id)
 	}
-	if r, ok := n.passOn(ctx, &peer.Call{Op: peer.OpCancel, ID: id}, answerWithin); ok {
+	if !leads {
+		if r, ok := n.passOn(ctx, call, answerWithin); ok && r.Status != http.StatusServiceUnavailable {
+			return r
+		}
+	}
+	if r, ok := n.elsewhere(ctx, call); ok {
 		return r
 	}
+	if leads {
+		return n.cancelHere(ctx, id)
+	}
 	return noLeader
 }
 
--- a/internal/controller/world_test.go
+++ b/internal/controller/world_test.go
@@ -574,3 +574,45 @@
 		time.Sleep(40 * time.Second)
 	})
 }
+
+// TestLeaderCutFromState: a leader that has lost the state service alone passes on
+// what users ask to the one that leads now. It used to refuse everything until it
+// read the log again, while the balancer went on sending users to it.
+func TestLeaderCutFromState(t *testing.T) {
+	inWorld(t, 16, func(w *standin.World) {
+		time.Sleep(6 * time.Second)
+		s := spec(1, wire.Service, 2, 0)
+		s.Priority, s.Class = wire.Production, "web"
+		w.Submit(s)
+		time.Sleep(20 * time.Second)
+		for i := range 3 { // one of them leads
+			w.CutState(i, true)
+			time.Sleep(8 * time.Second)
+			for k := range 5 {
+				j := spec(10+10*i+k, wire.Service, 1, 0)
+				j.Priority, j.Class, j.CPUs = wire.Production, "web", 0.1
+				w.Referee.Know(j)
+				b, _ := wire.Marshal(j)
+				began := time.Now()
+				if code, _ := w.CallAt(i, "submit", j.ID, b); code != 201 {
+					t.Errorf("node %d: a submission got %d", i, code)
+				}
+				if d := time.Since(began); d > 500*time.Millisecond {
+					t.Errorf("node %d: a submission took %v", i, d)
+				}
+				if code, _ := w.CallAt(i, "poll", j.ID, nil); code != 200 {
+					t.Errorf("node %d: a poll got %d", i, code)
+				}
+				time.Sleep(time.Second)
+			}
+			if code, _ := w.CallAt(i, "cancel", wire.JobID(uint64(10+10*i)), nil); code != 200 {
+				t.Errorf("node %d: a cancellation got %d", i, code)
+			}
+			w.CutState(i, false)
+			time.Sleep(20 * time.Second)
+		}
+		if k := w.Referee.Running("req-000001"); k != 2 {
+			t.Errorf("%d of 2 replicas run", k)
+		}
+	})
+}
