Keep workers that can't reach the leader from their first visit, and for longer

The bound for an old copy of the log kept five seconds of slack that nothing needs.

Change: a worker is kept for three seconds when it first comes, then sent to look once, then kept. The slack is two seconds: a lease renewed at the bound's end still leaves two before a cancellation is due, and clocks differ by a fiftieth of that.

Tests: the ones of cut zones.

--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -206,5 +206,5 @@
 func (s *Settings) KeepBound() time.Duration {
 	w := &s.Params.Workers
 	slack := w.CancelS - w.LeaseS
-	return Seconds(slack - min(5, slack/3))
+	return Seconds(slack - min(2, slack/3))
 }
--- a/internal/controller/house.go
+++ b/internal/controller/house.go
@@ -20,8 +20,8 @@
 func (n *Node) housekeep() {
 	n.judgeReady()
 	n.sayApart()
-	if len(n.redirects) > 1000 {
-		clear(n.redirects)
+	if len(n.keepUntil) > 4000 {
+		clear(n.keepUntil)
 	}
 	r := n.role
 	if r == nil || !n.active() {
--- a/internal/controller/node.go
+++ b/internal/controller/node.go
@@ -70,9 +70,9 @@
 	fleet     *fleet.Fleet
 	role      *role // nil: follower
 	leader    *oplog.Leader
-	caught    time.Time // the replica was complete then
-	redirects map[string]time.Time
-	apartSaid time.Time // when this node last told the leader that it does not reach it
+	caught    time.Time            // the replica was complete then
+	keepUntil map[string]time.Time // workers that don't reach the leader, and until when they are not sent to it
+	apartSaid time.Time            // when this node last told the leader that it does not reach it
 	dirty     bool
 	lastRound time.Time
 	gap       time.Duration // between rounds that events wake
@@ -135,7 +135,7 @@
 		state:  statesvc.New(via, set.Endpoints.State, max(4, p.State.RPS/members*0.95)),
 		cloud:  cloud.New(via, set.Endpoints.Cloud, p.Cloud.RPS*0.8),
 		worker: worker.New(via, 3*time.Second, max(16, p.Limits.MaxSockets/4)),
-		links:  map[string]*peer.Link{}, work: make(chan func(), 512), redirects: map[string]time.Time{},
+		links:  map[string]*peer.Link{}, work: make(chan func(), 512), keepUntil: map[string]time.Time{},
 	}
 	n.intake = rate.NewLimiter(rate.Limit(p.State.WriteRPS*0.1), max(1, int(p.State.WriteRPS*0.2)))
 	n.oplog = oplog.New(n.state, p.State.WriteRPS, p.State.ValueKB, p.State.TxnOps, logger)
--- a/internal/controller/workers.go
+++ b/internal/controller/workers.go
@@ -91,6 +91,14 @@
 	return false
 }
 
+// keepFirst and keepBack are how long a worker that does not reach the leader is
+// kept by this node before it is sent to look for the leader: when it comes for the
+// first time, and when it has come back.
+const (
+	keepFirst = 3 * time.Second
+	keepBack  = 20 * time.Second
+)
+
 // reportToOther answers a worker when another node leads, or none.
 func (n *Node) reportToOther(r *wire.Report) *peer.Reply {
 	now := time.Now()
@@ -100,16 +108,23 @@
 	if n.leader != nil && n.leader.Node != n.set.Node {
 		l := n.links[n.leader.Node]
 		reached := l != nil && now.Sub(l.Heard()) < linkFresh
-		sent, was := n.redirects[r.Machine]
-		back := was && now.Sub(sent) < 20*time.Second
-		if reached || !back {
-			// A worker that comes back soon after being sent to a leader that
-			// this node can't reach either is cut off with it.
-			if !reached {
-				n.redirects[r.Machine] = now
+		until, known := n.keepUntil[r.Machine]
+		if !known || now.Sub(until) > time.Minute {
+			// It comes for the first time, since the leader did not answer it, and
+			// its lease may be near its end: it is kept before it is sent to look
+			// for the leader again, which takes long when nothing answers.
+			until = now.Add(keepFirst)
+		} else if !reached && now.After(until) {
+			until = now.Add(keepBack) // if it comes back, it is cut off from the leader too
+			reached = true
+		}
+		if reached {
+			if known {
+				n.keepUntil[r.Machine] = until
 			}
 			return api.Encode(http.StatusMisdirectedRequest, &wire.Redirect{Node: n.leader.Node})
 		}
+		n.keepUntil[r.Machine] = until
 	}
 	return n.keepAlive(r)
 }
