--- /dev/null
+++ b/internal/fleet/fleet_test.go
@@ -0,0 +1,95 @@
+package fleet
+
+import (
+	"fmt"
+	"testing"
+
+	"fieldhill/internal/config"
+	"fieldhill/internal/model"
+	"fieldhill/wire"
+)
+
+// site is a model with two types of machines, the dear one with GPUs, and a fleet
+// that has been refused more of the cheap one.
+func site(t *testing.T, cheap, dear int) (*model.Model, *Fleet, func(e *model.Entry)) {
+	t.Helper()
+	m := model.New(&config.Params{Zones: []string{"a"}, Teams: []config.Team{{Name: "red", GPUs: 64}}})
+	seq := uint64(0)
+	apply := func(e *model.Entry) {
+		seq++
+		if err := m.Apply(e, seq, model.Time(seq)); err != nil {
+			t.Fatal(err)
+		}
+	}
+	for _, ty := range []wire.MachineType{
+		{Name: "cheap", CPUs: 8, MemoryGB: 32, CacheGB: 50, FetchGBPerS: 0.3, Price: 0.5, SpotPrice: 0.1, BootS: 40, Zones: []string{"a"}},
+		{Name: "dear", CPUs: 96, GPUs: 8, MemoryGB: 768, CacheGB: 80, FetchGBPerS: 0.8, Price: 25, SpotPrice: 6, BootS: 25, Zones: []string{"a"}},
+	} {
+		apply(&model.Entry{Kind: model.EntryType, Type: &ty})
+	}
+	for i := range cheap + dear {
+		name := "cheap"
+		if i >= cheap {
+			name = "dear"
+		}
+		id := model.MachineID(i + 1)
+		apply(&model.Entry{Kind: model.EntryMachine, Machine: id, Info: &model.MachineInfo{Name: fmt.Sprint("m", i), Type: name, Zone: "a"}})
+		m.Machines[id].Reported, m.Machines[id].Session = true, 1
+	}
+	f := New([]config.Objective{{Kind: "wait", Class: "web", WithinS: 25, Share: 0.9}})
+	for _, spot := range []bool{false, true} {
+		f.refused[Offer{Spot: spot}] = refusal{until: 1 << 62}
+	}
+	return m, f, apply
+}
+
+// services accepts services of a task each and places them on a machine.
+func services(m *model.Model, apply func(*model.Entry), from, n int, on model.MachineID) {
+	for i := range n {
+		id := uint64(from + i)
+		apply(model.Accepted(&wire.JobSpec{ID: wire.JobID(id), Class: "web", Team: "red", Shape: wire.Service, Priority: wire.Production, Tasks: 1,
+			CPUs: 4, MemoryGB: 4, Image: "w", ImageGB: 2}, 0))
+		apply(&model.Entry{Kind: model.EntryPlace, Job: model.JobID(id), Task: 0, Attempt: 1, Machine: on, Session: 1})
+	}
+}
+
+// TestNoDearStandby: no machine with GPUs is rented for services that are only
+// expected. It stood idle, was returned, and the next one was rented, a minute's
+// price each time.
+func TestNoDearStandby(t *testing.T) {
+	m, f, apply := site(t, 1, 0)
+	f.Plan(m, 0)
+	services(m, apply, 1, 2, 1) // the only cheap machine is full, and more will come
+	if p := f.Plan(m, 60e9); len(p.Hires) != 0 {
+		t.Errorf("rents %+v for services that are expected", p.Hires)
+	}
+	gang := &wire.JobSpec{ID: wire.JobID(9), Class: "gang", Team: "red", Shape: wire.Gang, Priority: wire.Normal, Tasks: 2,
+		CPUs: 80, GPUs: 8, MemoryGB: 600, Image: "g", ImageGB: 7, SameZone: true}
+	apply(model.Accepted(gang, 0))
+	if p := f.Plan(m, 61e9); len(p.Hires) != 1 || p.Hires[0].Count != 2 || m.TypeNames.Name(p.Hires[0].Type) != "dear" {
+		t.Errorf("rents %+v for a gang of two", p.Hires)
+	}
+}
+
+// TestRoomForLapsing: while leases run out in a zone that is cut off, machines for
+// what is there are rented already.
+func TestRoomForLapsing(t *testing.T) {
+	m, f, apply := site(t, 2, 0)
+	f.refused = map[Offer]refusal{}
+	f.Plan(m, 0)
+	services(m, apply, 1, 2, 1)
+	before := f.Plan(m, 60e9)
+	apply(&model.Entry{Kind: model.EntrySuspect, Machine: 1})
+	apply(&model.Entry{Kind: model.EntrySuspect, Machine: 2})
+	after := f.Plan(m, 60e9)
+	if n, k := rented(before), rented(after); k < n+1 {
+		t.Errorf("rents %d machines, %d before the only ones became suspect", k, n)
+	}
+}
+
+func rented(p Plan) (n int) {
+	for _, h := range p.Hires {
+		n += h.Count
+	}
+	return n
+}
