Hand over the lead when the machines no longer reach this node

Change: a leader that hears of hardly any machine of any zone for two seconds beyond a report period, by reports or when it asks, ends its lease if another controller is there, and does not stand for election for ten seconds.

Ruled out: followers keeping the workers, which nothing could be started on.

Test: each node in turn loses the workers; no replica is started anew.

--- a/internal/controller/house.go
+++ b/internal/controller/house.go
@@ -249,6 +249,7 @@
 			}
 		}
 	}
+	n.judgeSelf(r, up, mute)
 	ask := false
 	for _, mc := range n.m.Order {
 		boot := config.Seconds(max(n.m.TypeOf(mc).BootS, 10))
@@ -292,6 +293,47 @@
 	}
 }
 
+// unheardFor is how long hardly any machine may be heard of before the lead is
+// handed over.
+const unheardFor = 2 * time.Second
+
+// judgeSelf hands the lead over when the machines of all zones are silent at once
+// and don't answer when asked, while another controller is there: then it is this
+// node that has lost them, and their leases would run out under it.
+func (n *Node) judgeSelf(r *role, up, mute map[int32]int) {
+	all, silent, zones := 0, 0, 0
+	for z, k := range up {
+		all, silent = all+k, silent+mute[z]
+		if mute[z] > 0 {
+			zones++
+		}
+	}
+	other := false
+	for _, l := range n.links {
+		other = other || time.Since(l.Heard()) < linkFresh
+	}
+	now := time.Now()
+	// A new leader is looked for first, and where there is only one zone a cut of
+	// it looks the same.
+	if !other || silent < 3 || silent*10 < all*9 || zones < min(2, len(n.set.Params.Zones)) ||
+		now.Sub(r.placeFrom) < 2*config.Seconds(n.set.Params.Workers.ReportS) {
+		r.unheard = time.Time{}
+		return
+	}
+	if r.unheard.IsZero() {
+		r.unheard = now
+	}
+	if now.Sub(r.unheard) < unheardFor {
+		return
+	}
+	n.log.Info("handing over the lead: hardly any machine is heard of", "machines", all, "silent", silent)
+	r.leaving, r.until = true, time.Time{} // from here on it decides nothing
+	select {
+	case r.errs <- errUnheard:
+	default:
+	}
+}
+
 // cutPatience is after how long a silent machine is returned although its zone
 // looks cut off.
 const cutPatience = 100 * time.Second
--- a/internal/controller/node.go
+++ b/internal/controller/node.go
@@ -114,6 +114,9 @@
 	apart       map[string]*apart       // what was seen of nodes that this one does not reach
 	asking      bool                    // which nodes are apart
 	lastAsked   time.Time
+	unheard     time.Time // since when hardly any machine is heard of; zero: some are
+	leaving     bool      // the lead is being handed over
+	errs        chan error
 }
 
 type snapshot struct {
@@ -431,6 +434,7 @@
 		}
 	}
 	failing := false
+	var abstain time.Time // this node does not stand for election until then
 	for ctx.Err() == nil {
 		rev, err := n.load(ctx)
 		if err != nil {
@@ -445,12 +449,17 @@
 		for ctx.Err() == nil {
 			var leader *oplog.Leader
 			n.ask(func() { leader = n.leader })
-			if leader == nil {
+			if leader == nil && time.Now().After(abstain) {
 				won, err := lead.Acquire(ctx, n.state, n.set.Node, n.log)
 				if err == nil {
-					if err := n.serveTerm(ctx, won); err != nil && ctx.Err() == nil {
+					err := n.serveTerm(ctx, won)
+					if err != nil && ctx.Err() == nil {
 						n.log.Info("lead ended", "term", won.Term, "err", err)
 					}
+					if errors.Is(err, errUnheard) {
+						abstain = time.Now().Add(abstainFor)
+						_ = n.state.Revoke(ctx, won.Lease) // it ends by itself otherwise
+					}
 					break // read everything anew
 				}
 				if !errors.Is(err, lead.ErrTaken) {
@@ -475,6 +484,14 @@
 	}
 }
 
+// errUnheard ends the term of a leader that the machines don't reach, while other
+// controllers do: one of them leads better.
+var errUnheard = errors.New("controller: hardly any machine is heard of")
+
+// abstainFor is how long a node leaves the lead to others after that. If none of
+// them takes it, this one does again.
+const abstainFor = 10 * time.Second
+
 // load reads the log and replaces the replica.
 func (n *Node) load(ctx context.Context) (rev uint64, err error) {
 	sent := time.Now()
@@ -564,10 +581,14 @@
 		ld: won.Leader, until: won.Until, batches: make(chan oplog.Batch, 1), compact: make(chan snapshot, 1),
 		pending: map[fleet.Offer]int{}, cancel: cancel, ctx: ctx, touched: map[*model.Machine]bool{}, later: map[*model.Machine]bool{}, cutUntil: map[int32]model.Time{}, apart: map[string]*apart{},
 	}
-	errs := make(chan error, 3)
+	errs := make(chan error, 4)
+	r.errs = errs
 	go func() {
 		errs <- lead.Keep(ctx, n.state, won, func(until time.Time) {
 			n.post(func() {
+				if r.leaving {
+					return
+				}
 				r.until = until
 				if n.role == r {
 					n.caught = until.Add(-lead.Trust)
--- a/internal/controller/world_test.go
+++ b/internal/controller/world_test.go
@@ -616,3 +616,36 @@
 		}
 	})
 }
+
+// TestLeaderLosesWorkers: a leader that no worker reaches hands over to a controller
+// that they reach, before their leases run out.
+func TestLeaderLosesWorkers(t *testing.T) {
+	inWorld(t, 17, func(w *standin.World) {
+		time.Sleep(6 * time.Second)
+		for n := 1; n <= 6; n++ {
+			s := spec(n, wire.Service, 1, 0)
+			s.Priority, s.Class, s.CPUs, s.Types = wire.Production, "web", 3, []string{"small"}
+			w.Submit(s)
+		}
+		time.Sleep(40 * time.Second)
+		starts := w.Referee.Starts()
+		for i := range 3 { // one of them leads
+			for _, zone := range []string{"a", "b"} {
+				w.CutWorkers(zone, i, true)
+			}
+			time.Sleep(40 * time.Second)
+			for _, zone := range []string{"a", "b"} {
+				w.CutWorkers(zone, i, false)
+			}
+			time.Sleep(10 * time.Second)
+		}
+		for n := 1; n <= 6; n++ {
+			if k := w.Referee.Running(wire.JobID(uint64(n))); k != 1 {
+				t.Errorf("%d replicas of service %d run", k, n)
+			}
+		}
+		if k := w.Referee.Starts() - starts; k != 0 {
+			t.Errorf("%d tasks were started anew", k)
+		}
+	})
+}
