Wait once for room where an image is, and free at once what was never sent

Each placed task began the wait anew, one place a machine was asked for at a time, and the low work that does the least harm is what was just placed: it had to reach the log, start and be stopped before its room was free.

Change: a job waits once in a minute, for all its tasks; several places of a machine may be claimed; a run whose placement is not yet committed has surely not been sent, and ends at once.

Tests: two tasks of a service after a wait in vain; when a run counts as never sent.

--- a/internal/controller/workers.go
+++ b/internal/controller/workers.go
@@ -245,6 +245,13 @@
 	}
 	n.log.Info("stopping a task", "task", wire.TaskID(uint64(r.Job.ID), int(r.Task)), "machine", r.Machine.Info.Name, "why", why)
 	r.Stop, r.Hard = true, hard
+	if r.Unsent(n.role.committed) {
+		// Its placement is on the way into the log and nothing else happened: the
+		// room need not wait for the log and for the machine's word.
+		n.propose(&model.Entry{Kind: model.EntryEnded, Job: r.Job.ID, Task: r.Task, Attempt: r.Attempt})
+		n.dirty = true
+		return
+	}
 	n.touch(r.Machine)
 	if !r.Machine.Sending {
 		n.direct(r.Machine)
--- a/internal/model/model.go
+++ b/internal/model/model.go
@@ -124,7 +124,7 @@
 	// What the leader keeps for scheduling.
 	Waited     int // rounds spent waiting for a busy machine with the image
 	NotBefore  Time
-	LocalSince Time // since when room is being made where its image is; 0: it is not
+	LocalSince Time // when room was last begun to be made where its image is; 0: never
 	Errors     int
 	AvoidedOn  map[MachineID]bool // machines where a task of it failed
 	Guaranteed bool
@@ -194,6 +194,12 @@
 	seen      uint64
 }
 
+// Unsent tells whether no start of the run can have been sent by anybody: starts
+// go out once the placement is committed.
+func (r *Run) Unsent(committed uint64) bool {
+	return r.Phase == Unseen && !r.Inherited && r.Seq > committed
+}
+
 // Wanted tells whether the run should go on.
 func (r *Run) Wanted() bool { return !r.Stop && !r.Job.Cancelled }
 
--- a/internal/model/model_test.go
+++ b/internal/model/model_test.go
@@ -68,11 +68,20 @@
 	return v
 }
 
+// TestStartsWaitForTheLog: no start goes out before its placement is committed, and
+// until then, but for a new leader, the run can end without the machine's word.
 func TestStartsWaitForTheLog(t *testing.T) {
-	m, mc, _ := small(t)
-	if c := m.Commands(mc, 3, true); len(c) != 0 {
-		t.Errorf("before its placement is committed: %v", verbs(c))
+	m, mc, run := small(t)
+	if c := m.Commands(mc, 3, true); len(c) != 0 || !run.Unsent(3) {
+		t.Errorf("before its placement is committed: %v, unsent %v", verbs(c), run.Unsent(3))
+	}
+	if run.Unsent(4) {
+		t.Error("unsent although its placement is committed")
+	}
+	if run.Inherited = true; run.Unsent(3) {
+		t.Error("unsent by an earlier leader")
 	}
+	run.Inherited = false
 	if d := cmp.Diff([]string{"run req-000007/0"}, verbs(m.Commands(mc, 4, true))); d != "" {
 		t.Error(d)
 	}
--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -343,7 +343,7 @@
 				do.Stop(r, false, "its machine is to be returned")
 				return
 			}
-			if runs, cost, ok := s.victims(j, st, need, now); ok && len(runs) > 0 && (best.st == nil || cost < best.cost) {
+			if runs, cost, ok := s.victims(j, st, need, model.Production, now); ok && len(runs) > 0 && (best.st == nil || cost < best.cost) {
 				best, bestNeed = option{st: st, cost: cost, runs: runs}, need
 			}
 		}
@@ -550,7 +550,6 @@
 	if best.loc*s.P.Beta >= s.P.Threshold && s.localRoom(m, t, best, now, do) {
 		return false
 	}
-	j.LocalSince = 0
 	s.put(m, j, best.st, task, j.Tasks[task].Attempt+1, do)
 	best.loc = Locality(m, j, best.st.mc)
 	best.score = s.Score(best.loc, load(m, best.st.mc)) + s.misfit(m, j, best.st)
@@ -583,11 +582,10 @@
 	if !ok || rate <= 0 || j.Spec.ImageGB/rate <= within {
 		return false
 	}
-	if j.LocalSince != 0 && now-j.LocalSince > config.Seconds(within*0.6) {
-		return false
+	if since := now - j.LocalSince; j.LocalSince != 0 && since < localAgain && since > config.Seconds(within*0.6) {
+		return false // once for all its tasks, not for each
 	}
 	z := zones{j: j}
-	inZone := map[int32]int{}
 	var opts options
 	for i := range s.seats {
 		st := &s.seats[i]
@@ -595,34 +593,21 @@
 			!st.total.Minus(Firm(st.mc)).Minus(st.claim).Holds(t.need) {
 			continue
 		}
-		if runs, cost, ok := s.victims(j, st, t.need, now); ok && !slices.ContainsFunc(runs, func(r *model.Run) bool { return r.Job.Priority > model.Low }) {
+		if runs, cost, ok := s.victims(j, st, t.need, model.Low, now); ok {
 			opts = append(opts, option{st, cost, runs, i})
 		}
 	}
-	heap.Init(&opts)
-	found := false
-	for left := min(j.Waiting(), mostClaims); left > 0 && len(opts) > 0; {
-		o := heap.Pop(&opts).(option)
-		if zone := o.st.mc.Zone; j.Spec.Spread {
-			if in, _ := j.ZoneCount(zone); in+inZone[zone]+1 > (len(j.Tasks)+1)/2 {
-				continue
-			}
-			inZone[zone]++
-		}
-		found = true
-		left--
-		o.st.claim = o.st.claim.Plus(t.need)
-		for _, r := range o.runs {
-			do.Stop(r, false, "room for "+j.Spec.ID+" where its image is")
-		}
-		o.st.left = false
-	}
-	if found && j.LocalSince == 0 {
+	found := len(opts) > 0
+	s.claimBest(j, t.need, opts, model.Low, true, "room where its image is, for "+j.Spec.ID, now, do)
+	if found && (j.LocalSince == 0 || now-j.LocalSince >= localAgain) {
 		j.LocalSince = now
 	}
 	return found
 }
 
+// localAgain is after how long a service may wait anew for room where its image is.
+const localAgain = model.Time(60e9)
+
 // mayWait tells whether a job may wait another round for a busy local machine.
 func (s *Sched) mayWait(j *model.Job) bool {
 	return j.Kind != model.Service && j.Waited < s.P.WaitRounds
@@ -945,41 +930,48 @@
 			limited = true
 			continue
 		}
-		if runs, cost, ok := s.victims(j, st, t.need, now); ok {
+		if runs, cost, ok := s.victims(j, st, t.need, model.Production, now); ok {
 			opts = append(opts, option{st, cost, runs, i})
 		}
 	}
-	heap.Init(&opts)
 	patient := now-j.Began < s.Patience(j)
-	left := min(j.Waiting(), mostClaims)
+	left := s.claimBest(j, t.need, opts, model.Production, !patient, "room for "+j.Spec.ID, now, do)
+	if left > 0 && !limited && !j.Spec.Spread && j.AvoidedOn == nil {
+		s.stuck = append(s.stuck, shape{k, t.need})
+	}
+}
+
+// claimBest claims room for the waiting tasks of a job where it costs least, and
+// stops what is in the way, up to a priority, if it may. It returns how many found none.
+func (s *Sched) claimBest(j *model.Job, need Room, opts options, most model.Priority, stop bool, why string, now model.Time, do Doer) int {
+	heap.Init(&opts)
 	inZone := map[int32]int{} // claimed by this job
-	for ; left > 0 && len(opts) > 0; left-- {
+	left := min(j.Waiting(), mostClaims)
+	for left > 0 && len(opts) > 0 {
 		o := &opts[0]
 		if zone := o.st.mc.Zone; j.Spec.Spread {
 			if in, _ := j.ZoneCount(zone); in+inZone[zone]+1 > (len(j.Tasks)+1)/2 {
 				heap.Pop(&opts)
-				left++
 				continue
 			}
 			inZone[zone]++
 		}
-		o.st.claim = o.st.claim.Plus(t.need)
-		if !patient {
+		left--
+		o.st.claim = o.st.claim.Plus(need)
+		if stop {
 			for _, r := range o.runs {
-				do.Stop(r, false, "room for "+j.Spec.ID)
+				do.Stop(r, false, why)
 			}
 			o.st.left = false
 		}
 		var ok bool
-		if o.runs, o.cost, ok = s.victims(j, o.st, t.need, now); ok {
+		if o.runs, o.cost, ok = s.victims(j, o.st, need, most, now); ok {
 			heap.Fix(&opts, 0)
 		} else {
 			heap.Pop(&opts)
 		}
 	}
-	if left > 0 && !limited && len(inZone) == 0 && j.AvoidedOn == nil {
-		s.stuck = append(s.stuck, shape{k, t.need})
-	}
+	return left
 }
 
 // member is room for one more member of a gang on a machine.
@@ -1019,7 +1011,7 @@
 			if !st.total.Minus(Firm(st.mc)).Minus(st.claim).Holds(need) {
 				break
 			}
-			runs, cost, ok := s.victims(j, st, need, now)
+			runs, cost, ok := s.victims(j, st, need, model.Production, now)
 			if !ok {
 				break
 			}
@@ -1072,8 +1064,9 @@
 	harm float64
 }
 
-// victims finds runs whose end makes room on a machine, least harm first.
-func (s *Sched) victims(j *model.Job, st *seat, need Room, now model.Time) ([]*model.Run, float64, bool) {
+// victims finds runs of at most a priority whose end makes room on a machine, least
+// harm first.
+func (s *Sched) victims(j *model.Job, st *seat, need Room, most model.Priority, now model.Time) ([]*model.Run, float64, bool) {
 	room := st.total.Minus(used(st.mc)).Plus(st.leaving()).Minus(st.claim)
 	if room.Holds(need) {
 		return nil, 0, true
@@ -1081,7 +1074,7 @@
 	pool := s.pool[:0]
 	could := room
 	for _, r := range st.mc.Runs {
-		if mayStop(r, j) {
+		if r.Job.Priority <= most && mayStop(r, j) {
 			pool = append(pool, victim{r, harm(r, now)})
 			could = could.Plus(Need(r.Job))
 		}
--- a/internal/sched/sched_test.go
+++ b/internal/sched/sched_test.go
@@ -427,9 +427,9 @@
 func TestLowWorkLeavesWhereTheImageIs(t *testing.T) {
 	w := newWorld(t, 3)
 	s := New(Params{Beta: 0.8, Threshold: 0.5, Objectives: []config.Objective{{Kind: "wait", Class: "web", WithinS: 1, Share: 0.9}}})
-	web := func(n uint64) *model.Job {
+	web := func(n uint64, tasks int) *model.Job {
 		return w.submit(n, func(s *wire.JobSpec) {
-			s.Class, s.Shape, s.Priority, s.Image, s.ImageGB = "web", wire.Service, wire.Production, "w", 3
+			s.Tasks, s.Class, s.Shape, s.Priority, s.Image, s.ImageGB = tasks, "web", wire.Service, wire.Production, "w", 3
 		})
 	}
 	w.submit(1, func(s *wire.JobSpec) { s.Tasks, s.Image = 4, "j" })
@@ -438,7 +438,7 @@
 	if len(full.Runs) != 4 {
 		t.Fatalf("placed %v", w.placed)
 	}
-	first := web(2)
+	first := web(2, 1)
 	full.Touch(w.m, first, 0)
 	s.Round(w.m, 10e9, false, w)
 	if first.Live != 0 || len(w.stopped) != 1 {
@@ -453,12 +453,12 @@
 	if s.Round(w.m, 10.2e9, false, w); first.Live != 1 || first.Tasks[0].Run.Machine != full {
 		t.Fatalf("placed %v", w.placed)
 	}
-	second := web(3)
+	second := web(3, 2)
 	s.Round(w.m, 20e9, false, w) // a low task is told to stop and does not answer
-	if s.Round(w.m, 20.3e9, false, w); second.Live != 0 || len(w.stopped) != 2 {
+	if s.Round(w.m, 20.3e9, false, w); second.Live != 0 || len(w.stopped) != 3 {
 		t.Fatalf("placed %v, stopped %v", w.placed, w.stopped)
 	}
-	if s.Round(w.m, 20.7e9, false, w); second.Live != 1 || second.Tasks[0].Run.Machine == full {
-		t.Errorf("after waiting in vain: placed %v", w.placed)
+	if s.Round(w.m, 20.7e9, false, w); second.Live != 2 || second.Tasks[0].Run.Machine == full || len(w.stopped) != 3 {
+		t.Errorf("after waiting in vain: placed %v, stopped %v", w.placed, w.stopped)
 	}
 }
