Rent nothing in a zone that is cut off, and use what is elsewhere

Change: offers in a zone with suspect machines are passed over.

Test: room for what lapses is rented in another zone, or not at all.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -80,6 +80,7 @@
 	classes    map[int32]*class
 	seen       map[model.JobID]bool
 	vacating   *model.Machine
+	apart      map[int32]bool // zones with suspect machines: what is rented there can't be reached
 	began      model.Time
 	started    bool
 	lastDecay  model.Time
@@ -87,7 +88,7 @@
 
 // New makes a fleet.
 func New(obj []config.Objective) *Fleet {
-	return &Fleet{Objectives: obj, refused: map[Offer]refusal{}, classes: map[int32]*class{}, seen: map[model.JobID]bool{}}
+	return &Fleet{Objectives: obj, refused: map[Offer]refusal{}, classes: map[int32]*class{}, apart: map[int32]bool{}, seen: map[model.JobID]bool{}}
 }
 
 // Refused notes that the cloud had nothing of an offer; it is asked again after
@@ -278,6 +279,12 @@
 	jobs := m.JobsInOrder()
 	sched.Guarantees(m, jobs)
 	f.learn(m, jobs, now)
+	clear(f.apart)
+	for _, mc := range m.Order {
+		if mc.Suspect {
+			f.apart[mc.Zone] = true
+		}
+	}
 	slots := f.slots(m)
 	items, headroom := f.items(m, jobs, now)
 	p := Plan{Headroom: headroom, ForServices: map[*model.Machine]int{}, Drain: map[*model.Machine]bool{}}
@@ -749,7 +756,7 @@
 	bestCost := math.Inf(1)
 	offers(m, func(o Offer) {
 		cost, ok := f.price(m, it, o, left)
-		if !ok || f.refused[o].until > now || !worth(o) {
+		if !ok || f.refused[o].until > now || f.apart[o.Zone] || !worth(o) {
 			return
 		}
 		if cost *= 1 + 0.02*float64(count(m, o)); cost < bestCost {
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -72,7 +72,7 @@
 }
 
 // TestRoomForLapsing: while leases run out in a zone that is cut off, machines for
-// what is there are rented already.
+// what is there are rented already, in another zone.
 func TestRoomForLapsing(t *testing.T) {
 	m, f, apply := site(t, 2, 0)
 	f.refused = map[Offer]refusal{}
@@ -81,8 +81,11 @@
 	before := f.Plan(m, 60e9)
 	apply(&model.Entry{Kind: model.EntrySuspect, Machine: 1})
 	apply(&model.Entry{Kind: model.EntrySuspect, Machine: 2})
-	after := f.Plan(m, 60e9)
-	if n, k := rented(before), rented(after); k < n+1 {
+	if n := rented(f.Plan(m, 60e9)); n != 0 {
+		t.Errorf("rents %d machines in the zone that is cut off, the only one", n)
+	}
+	m.Types[0].ZoneIDs = append(m.Types[0].ZoneIDs, m.Zones.ID("b"))
+	if n, k := rented(before), rented(f.Plan(m, 60e9)); k < n+1 {
 		t.Errorf("rents %d machines, %d before the only ones became suspect", k, n)
 	}
 }
