--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -229,7 +229,6 @@
 	service bool
 	rank    model.Priority
 	standby bool          // room to keep free, not work
-	dear    int           // how much of that may be kept on machines with GPUs, for work without
 	limit   float64       // how many times the cheapest price it is worth; 0: any
 	perZone int           // how many may go to one zone; 0: any number
 	inZone  map[int32]int // how many are there already
@@ -464,9 +463,6 @@
 		}
 		if k := int(math.Ceil(n)); k > 0 {
 			it := item{need: c.need, types: c.types, zone: c.zone, spot: c.spot && c.kind != model.Service, count: k, service: c.kind == model.Service, standby: true, limit: 6}
-			if c.kind == model.Service {
-				it.dear = int(r * (boot + fetch)) // what comes while one boots
-			}
 			if c.spread && k > 1 {
 				it.perZone, it.inZone = k/2+1, map[int32]int{}
 			}
@@ -539,13 +535,7 @@
 	left := it.count
 	fill := func(may func(*slot) bool) {
 		for _, s := range *slots {
-			if left == 0 {
-				return
-			}
-			if !may(s) { // as it was before
-				continue
-			}
-			for left > 0 && s.free.Holds(it.need) && it.allows(s.offer) {
+			for left > 0 && may(s) && s.free.Holds(it.need) && it.allows(s.offer) {
 				it.put(s)
 				left--
 				if it.service && !it.standby && s.mc != nil && s.total.GPUs > 0 {
@@ -589,23 +579,10 @@
 				continue
 			}
 		}
-		if !ok {
+		if !ok || plain && it.standby && m.Types[o.Type].GPUs > 0 {
+			// Machines with GPUs are not rented to stand idle for work without.
 			return
 		}
-		if plain && it.standby && m.Types[o.Type].GPUs > 0 {
-			// Machines with GPUs are not rented to stand idle for work without,
-			// unless what comes while one boots fills half of it; one that is
-			// empty, or boots, is as good as another.
-			if left = min(left, it.dear); 2*left < f.fit(m, it, o) {
-				return
-			}
-			before := left
-			fill(func(s *slot) bool { return s.total.GPUs > 0 && (s.wish || s.mc == nil || !s.mc.Reported || !s.used) })
-			if it.dear -= before - left; left < before {
-				continue
-			}
-			it.dear = 0 // the one that is rented now is enough
-		}
 		t := &m.Types[o.Type]
 		total := sched.Room{CPUs: t.CPUs, GPUs: t.GPUs, Mem: t.MemoryGB}
 		s := &slot{offer: o, total: total, free: total, used: true, wish: true}
@@ -730,22 +707,14 @@
 	return n
 }
 
-// fit is how many tasks of an item a machine of an offer holds.
-func (f *Fleet) fit(m *model.Model, it *item, o Offer) (n int) {
-	t := &m.Types[o.Type]
-	for r := (sched.Room{CPUs: t.CPUs, GPUs: t.GPUs, Mem: t.MemoryGB}); n < maxFit && r.Holds(it.need); n++ {
-		r = r.Minus(it.need)
-	}
-	return n
-}
-
-const maxFit = 1 << 12 // tasks may need next to nothing
-
 // price is what a task of an item costs an hour on an offer, when so many of
 // them are to be placed; false: it does not fit or may not go there.
 func (f *Fleet) price(m *model.Model, it *item, o Offer, left int) (float64, bool) {
 	t := &m.Types[o.Type]
-	fit := min(left, f.fit(m, it, o))
+	fit := 0
+	for r := (sched.Room{CPUs: t.CPUs, GPUs: t.GPUs, Mem: t.MemoryGB}); fit < left && r.Holds(it.need); fit++ {
+		r = r.Minus(it.need)
+	}
 	if !t.Known || fit == 0 || !it.allows(o) {
 		return 0, false
 	}
