--- a/cmd/fieldhill/main.go
+++ b/cmd/fieldhill/main.go
@@ -22,6 +22,13 @@
 type cli struct {
 	Serve serveCmd `cmd:"" default:"withargs" help:"Run a controller (the default command)."`
 	Check checkCmd `cmd:"" help:"Check a settings file and print what was understood."`
+
+	Submit submitCmd `cmd:"" help:"Submit a job to a controller."`
+	Status statusCmd `cmd:"" help:"Ask a controller how a job is."`
+	Cancel cancelCmd `cmd:"" help:"Cancel a job."`
+	Ready  readyCmd  `cmd:"" help:"Ask whether a controller takes requests."`
+
+	Version versionCmd `cmd:"" help:"Print the version."`
 }
 
 type serveCmd struct {
@@ -109,6 +116,24 @@
 	return fmt.Sprintf("%g", f)
 }
 
+// version is the latest entry of CHANGELOG.md.
+const version = "0.2.0"
+
+type versionCmd struct{}
+
+func (versionCmd) Run() error {
+	rev := ""
+	if info, ok := debug.ReadBuildInfo(); ok {
+		for _, s := range info.Settings {
+			if s.Key == "vcs.revision" {
+				rev = " " + s.Value
+			}
+		}
+	}
+	fmt.Println("fieldhill " + version + rev)
+	return nil
+}
+
 func main() {
 	var c cli
 	ctx := kong.Parse(&c, kong.Name("fieldhill"), kong.Description("A cluster scheduler: decides what runs where, rents the machines, and answers the users."))
