Ask machines with work how they are as soon as a node leads

Change: a new leader asks them itself, 48 at a time, and does not wait for suspect ones. Where a machine is goes into the log, since a rented one was known by its name alone until the cloud's list told.

--- a/internal/controller/house.go
+++ b/internal/controller/house.go
@@ -114,7 +114,7 @@
 		mc = n.m.ByName[l.Name]
 	}
 	if mc.Info.Addr == "" {
-		mc.Info.Addr = l.Addr
+		n.learnAddr(mc, l.Addr)
 	}
 	if l.State == wire.MachineFailed {
 		n.giveUp(mc, "the cloud lists it as failed")
--- a/internal/controller/node.go
+++ b/internal/controller/node.go
@@ -117,6 +117,7 @@
 	unheard     time.Time // since when hardly any machine is heard of; zero: some are
 	leaving     bool      // the lead is being handed over
 	errs        chan error
+	probes      chan struct{} // room for machines that are being asked
 }
 
 type snapshot struct {
@@ -579,7 +580,7 @@
 	defer cancel()
 	r := &role{
 		ld: won.Leader, until: won.Until, batches: make(chan oplog.Batch, 1), compact: make(chan snapshot, 1),
-		pending: map[fleet.Offer]int{}, cancel: cancel, ctx: ctx, touched: map[*model.Machine]bool{}, later: map[*model.Machine]bool{}, cutUntil: map[int32]model.Time{}, apart: map[string]*apart{},
+		pending: map[fleet.Offer]int{}, cancel: cancel, ctx: ctx, touched: map[*model.Machine]bool{}, later: map[*model.Machine]bool{}, cutUntil: map[int32]model.Time{}, apart: map[string]*apart{}, probes: make(chan struct{}, probesAtOnce),
 	}
 	errs := make(chan error, 4)
 	r.errs = errs
@@ -675,6 +676,7 @@
 	// Machines that worked for the last leader report within this time.
 	r.placeFrom = time.Now().Add(config.Seconds(n.set.Params.Workers.ReportS * 1.25))
 	n.dirty = true
+	n.askAll()
 	n.log.Info("leading", "term", r.ld.Term, "seq", n.applied, "jobs", len(n.m.Jobs), "machines", len(n.m.Order))
 }
 
--- a/internal/controller/workers.go
+++ b/internal/controller/workers.go
@@ -71,7 +71,7 @@
 // observe takes in a report and logs what it proves. It tells whether the
 // report was out of date.
 func (n *Node) observe(mc *model.Machine, r *wire.Report, answer bool) (stale bool) {
-	mc.Info.Addr = r.Addr
+	n.learnAddr(mc, r.Addr)
 	bad := mc.Bad
 	v := n.m.Observe(mc, r, answer, n.now())
 	if v.Stale {
@@ -99,6 +99,16 @@
 	keepBack  = 20 * time.Second
 )
 
+// learnAddr logs where a machine is, for the next leader to ask it.
+func (n *Node) learnAddr(mc *model.Machine, addr string) {
+	if addr == "" || mc.Info.Addr == addr {
+		return
+	}
+	info := mc.Info
+	info.Addr = addr
+	n.propose(&model.Entry{Kind: model.EntryMachine, Machine: mc.ID, At: mc.At, Info: &info})
+}
+
 // reportToOther answers a worker when another node leads, or none.
 func (n *Node) reportToOther(r *wire.Report) *peer.Reply {
 	now := time.Now()
@@ -278,7 +288,7 @@
 // allReported tells whether every machine that is up has reported to this leader.
 func (n *Node) allReported() bool {
 	for _, mc := range n.m.Order {
-		if !mc.Reported && len(mc.Runs) > 0 {
+		if !mc.Reported && len(mc.Runs) > 0 && !mc.Suspect {
 			return false
 		}
 	}
@@ -295,6 +305,20 @@
 // is given up.
 func (n *Node) silentAfter() time.Duration { return n.probeAfter() + 3*time.Second }
 
+// probesAtOnce is how many machines are asked at the same time.
+const probesAtOnce = 48
+
+// askAll asks all machines with work how they are. A new leader places nothing
+// before it has heard of them, and many of their workers take a report period and
+// longer to find it.
+func (n *Node) askAll() {
+	for _, mc := range n.m.Order {
+		if len(mc.Runs) > 0 && !mc.Suspect {
+			n.probe(mc)
+		}
+	}
+}
+
 // probe asks a silent machine how it is. A worker that lost its node may take
 // long to find the leader; one that is dead or hangs does not answer at all.
 func (n *Node) probe(mc *model.Machine) {
@@ -305,12 +329,20 @@
 	mc.Probing = true
 	addr := mc.Info.Addr
 	go func() {
+		select {
+		case r.probes <- struct{}{}:
+		case <-r.ctx.Done():
+			return
+		}
+		defer func() { <-r.probes }()
 		rep, err := n.worker.Show(r.ctx, addr, 1200*time.Millisecond)
 		n.post(func() {
 			mc.Probing = false
 			if n.role == r && err == nil && n.m.Machines[mc.ID] == mc && rep.Machine == mc.Info.Name {
+				first := !mc.Reported
 				n.observe(mc, rep, true)
 				mc.LastReport = n.now()
+				n.dirty = n.dirty || first
 			}
 		})
 	}()
--- a/internal/controller/world_test.go
+++ b/internal/controller/world_test.go
@@ -649,3 +649,36 @@
 		}
 	})
 }
+
+// TestNewLeaderAsks: a new leader hears of the machines with work by asking them, and
+// so places new work long before all their workers have found it.
+func TestNewLeaderAsks(t *testing.T) {
+	inWorld(t, 18, func(w *standin.World) {
+		time.Sleep(6 * time.Second)
+		web := func(n int) *wire.JobSpec {
+			s := spec(n, wire.Service, 1, 0)
+			s.Priority, s.Class, s.CPUs, s.Types = wire.Production, "web", 3, []string{"small"}
+			return s
+		}
+		for n := 1; n <= 5; n++ {
+			w.Submit(web(n))
+		}
+		time.Sleep(40 * time.Second)
+		for i := range 3 { // one of them leads
+			w.Crash(i)
+			began := time.Now()
+			j := web(10 + i)
+			j.CPUs = 0.5
+			w.Submit(j)
+			for w.Referee.Running(j.ID) == 0 && time.Since(began) < time.Minute {
+				time.Sleep(50 * time.Millisecond)
+			}
+			// The lease, the election, asking, and fetching the image for 1.5 s.
+			if d := time.Since(began); d > 3*time.Second+2500*time.Millisecond {
+				t.Errorf("node %d: a service ran %v after the crash", i, d)
+			}
+			w.Start(i)
+			time.Sleep(10 * time.Second)
+		}
+	})
+}
--- a/internal/model/model.go
+++ b/internal/model/model.go
@@ -686,7 +686,10 @@
 }
 
 func (m *Model) addMachine(e *Entry, now Time) {
-	if m.ByName[e.Info.Name] != nil || m.Machines[e.Machine] != nil {
+	if old := m.ByName[e.Info.Name]; old != nil || m.Machines[e.Machine] != nil {
+		if old != nil && e.Info.Addr != "" {
+			old.Info.Addr = e.Info.Addr // it was rented, and has told where it is
+		}
 		return
 	}
 	mc := &Machine{
--- a/internal/model/model_test.go
+++ b/internal/model/model_test.go
@@ -431,3 +431,23 @@
 		t.Error("after the lease its task does not wait again, or the machine is in use")
 	}
 }
+
+// TestAddressOfARentedMachine: what a machine tells of its address is kept for the
+// next leader, in the log and in snapshots.
+func TestAddressOfARentedMachine(t *testing.T) {
+	m := New(params())
+	for _, addr := range []string{"", "x:9", ""} {
+		i := info("host-1")
+		i.Addr = addr
+		if err := m.Apply(&Entry{Kind: EntryMachine, Machine: 1, Info: i}, 1, 0); err != nil {
+			t.Fatal(err)
+		}
+	}
+	again := New(params())
+	if err := again.Restore(m.Snapshot(), 1, 0); err != nil {
+		t.Fatal(err)
+	}
+	if len(again.Order) != 1 || again.Order[0].Info.Addr != "x:9" {
+		t.Errorf("%d machines, the address is %q", len(again.Order), again.Order[0].Info.Addr)
+	}
+}
