Let services onto machines of gangs when there is no other room

Change: when nothing is free and nothing can be rented, services may go where gangs of lower priority have to leave.

Test: five replicas, two machines with a gang each and nothing to rent.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -579,6 +579,9 @@
 				continue
 			}
 		}
+		if !ok && plain && it.service && !it.standby {
+			overGangs(it, left, *slots, forServices)
+		}
 		if !ok || plain && it.standby && m.Types[o.Type].GPUs > 0 {
 			// Machines with GPUs are not rented to stand idle for work without.
 			return
@@ -597,6 +600,35 @@
 	}
 }
 
+// overGangs lets services onto machines of gangs that are less urgent, when there
+// is no other room and nothing to be rented: what is behind them in the queue has to
+// leave.
+func overGangs(it *item, left int, slots []*slot, forServices map[*model.Machine]int) {
+	for _, s := range slots {
+		if s.mc == nil || !s.mc.Reported || s.total.GPUs == 0 {
+			continue
+		}
+		leaves := s.free
+		for _, r := range s.mc.Runs {
+			if r.Job.Spec.GPUs > 0 && r.Job.Kind == model.Gang && r.Job.Priority < it.rank {
+				leaves = leaves.Plus(sched.Need(r.Job))
+			}
+		}
+		if leaves == s.free {
+			continue
+		}
+		for left > 0 && leaves.Holds(it.need) && it.allows(s.offer) {
+			it.put(s)
+			leaves = leaves.Minus(it.need)
+			forServices[s.mc]++
+			left--
+		}
+		if left == 0 {
+			return
+		}
+	}
+}
+
 // fullest calls a function for the machines with GPUs that hold services, the
 // one with most of them first: the fewer machines they keep, the better.
 func (f *Fleet) fullest(slots []*slot, each func(*slot)) {
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -90,6 +90,29 @@
 	}
 }
 
+// TestServicesOverGangs: when nothing else is there and nothing can be rented, services
+// may go where a gang of lower priority has to leave.
+func TestServicesOverGangs(t *testing.T) {
+	m, f, apply := site(t, 0, 2)
+	for _, spot := range []bool{false, true} {
+		f.refused[Offer{Type: 1, Spot: spot}] = refusal{until: 1 << 62}
+	}
+	for n := range 2 {
+		id := model.JobID(n + 1)
+		apply(model.Accepted(&wire.JobSpec{ID: wire.JobID(uint64(id)), Class: "gang", Team: "red", Shape: wire.Gang, Priority: wire.High, Tasks: 1,
+			CPUs: 94, GPUs: 8, MemoryGB: 600, Image: "g", ImageGB: 7}, 0))
+		apply(&model.Entry{Kind: model.EntryPlace, Job: id, Task: 0, Attempt: 1, Machine: model.MachineID(n + 1), Session: 1})
+	}
+	if p := f.Plan(m, 0); len(p.ForServices) != 0 {
+		t.Errorf("services may go to %d machines although none waits", len(p.ForServices))
+	}
+	apply(model.Accepted(&wire.JobSpec{ID: wire.JobID(9), Class: "web", Team: "red", Shape: wire.Service, Priority: wire.Production, Tasks: 5,
+		CPUs: 4, MemoryGB: 4, Image: "w", ImageGB: 2}, 0))
+	if p := f.Plan(m, 1e9); len(p.ForServices) != 1 {
+		t.Errorf("five replicas may go to %d machines of gangs", len(p.ForServices))
+	}
+}
+
 func rented(p Plan) (n int) {
 	for _, h := range p.Hires {
 		n += h.Count
