Stop gangs only for as many services as fill half of their room

Change: services without room are counted together, and a gang leaves only for what fills half of what it leaves.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -80,6 +80,7 @@
 	classes    map[int32]*class
 	seen       map[model.JobID]bool
 	vacating   *model.Machine
+	over       []over
 	apart      map[int32]bool // zones with suspect machines: what is rented there can't be reached
 	began      model.Time
 	started    bool
@@ -279,6 +280,7 @@
 	jobs := m.JobsInOrder()
 	sched.Guarantees(m, jobs)
 	f.learn(m, jobs, now)
+	f.over = f.over[:0]
 	clear(f.apart)
 	for _, mc := range m.Order {
 		if mc.Suspect {
@@ -302,6 +304,7 @@
 			worth = append(worth, f.affordable(m, &items[i]))
 		}
 	}
+	f.overGangs(slots, p.ForServices)
 	if worth == nil {
 		p.Vacate = f.vacate(m, slots, p.ForServices)
 	}
@@ -580,7 +583,7 @@
 			}
 		}
 		if !ok && plain && it.service && !it.standby {
-			overGangs(it, left, *slots, forServices)
+			f.over = append(f.over, over{it, left})
 		}
 		if !ok || plain && it.standby && m.Types[o.Type].GPUs > 0 {
 			// Machines with GPUs are not rented to stand idle for work without.
@@ -600,32 +603,61 @@
 	}
 }
 
+// over is services for which there is no room and nothing to be rented.
+type over struct {
+	it   *item
+	left int
+}
+
 // overGangs lets services onto machines of gangs that are less urgent, when there
 // is no other room and nothing to be rented: what is behind them in the queue has to
-// leave.
-func overGangs(it *item, left int, slots []*slot, forServices map[*model.Machine]int) {
+// leave. A gang leaves only for services that fill half of its room: for a few, a place
+// is free elsewhere before long, and the gang would lose more than they gain.
+func (f *Fleet) overGangs(slots []*slot, forServices map[*model.Machine]int) {
 	for _, s := range slots {
+		if len(f.over) == 0 {
+			return
+		}
 		if s.mc == nil || !s.mc.Reported || s.total.GPUs == 0 {
 			continue
 		}
 		leaves := s.free
 		for _, r := range s.mc.Runs {
-			if r.Job.Spec.GPUs > 0 && r.Job.Kind == model.Gang && r.Job.Priority < it.rank {
+			if r.Job.Spec.GPUs > 0 && r.Job.Kind == model.Gang && r.Job.Priority < f.over[0].it.rank {
 				leaves = leaves.Plus(sched.Need(r.Job))
 			}
 		}
 		if leaves == s.free {
 			continue
 		}
-		for left > 0 && leaves.Holds(it.need) && it.allows(s.offer) {
-			it.put(s)
-			leaves = leaves.Minus(it.need)
-			forServices[s.mc]++
-			left--
+		var take []int // how many of each
+		room, allowed := leaves, 0.0
+		for _, o := range f.over {
+			n := 0
+			for n < o.left && room.Holds(o.it.need) && o.it.allows(s.offer) {
+				room = room.Minus(o.it.need)
+				n++
+			}
+			take = append(take, n)
+			allowed += float64(n) * o.it.need.CPUs
 		}
-		if left == 0 {
-			return
+		if 2*allowed < leaves.CPUs {
+			continue
+		}
+		rest := f.over[:0]
+		for k, o := range f.over {
+			for range take[k] {
+				if o.it.allows(s.offer) {
+					o.it.put(s)
+					forServices[s.mc]++
+					o.left--
+				}
+			}
+			if o.left > 0 {
+				rest = append(rest, o)
+			}
 		}
+		f.over = rest
 	}
 }
 
