--- a/cmd/fieldhill/client.go
+++ b/cmd/fieldhill/client.go
@@ -166,33 +166,29 @@
 	return nil
 }
 
-type statusCmd struct {
+// about names a job at a controller.
+type about struct {
 	target
 	ID string `arg:"" help:"The job's id."`
 }
 
-func (c *statusCmd) Run() error {
+// ask sends a request about the job and prints how it is.
+func (a *about) ask(method, suffix string) error {
 	var s wire.JobStatus
-	if err := c.call(http.MethodGet, wire.PathJobs+"/"+c.ID, nil, &s); err != nil {
+	if err := a.call(method, wire.PathJobs+"/"+a.ID+suffix, nil, &s); err != nil {
 		return err
 	}
 	tell(&s)
 	return nil
 }
 
-type cancelCmd struct {
-	target
-	ID string `arg:"" help:"The job's id."`
-}
+type statusCmd struct{ about }
 
-func (c *cancelCmd) Run() error {
-	var s wire.JobStatus
-	if err := c.call(http.MethodPost, wire.PathJobs+"/"+c.ID+wire.CancelSuffix, nil, &s); err != nil {
-		return err
-	}
-	tell(&s)
-	return nil
-}
+func (c *statusCmd) Run() error { return c.ask(http.MethodGet, "") }
+
+type cancelCmd struct{ about }
+
+func (c *cancelCmd) Run() error { return c.ask(http.MethodPost, wire.CancelSuffix) }
 
 type readyCmd struct{ target }
 
--- a/cmd/fieldhill/client_test.go
+++ b/cmd/fieldhill/client_test.go
@@ -74,7 +74,7 @@
 		w.WriteHeader(status)
 		_, _ = w.Write(b)
 	}))
-	c := cancelCmd{target{strings.TrimPrefix(srv.URL, "http://"), 2 * time.Second}, "req-000001"}
+	c := cancelCmd{about{target{strings.TrimPrefix(srv.URL, "http://"), 2 * time.Second}, "req-000001"}}
 	if err := c.Run(); err != nil {
 		t.Error(err)
 	}
--- a/internal/controller/users.go
+++ b/internal/controller/users.go
@@ -89,6 +89,20 @@
 	return nil, false
 }
 
+// byOthers asks the leader, if that is another node, and the rest if this one is out
+// of touch with the state service.
+func (n *Node) byOthers(ctx context.Context, c *peer.Call, leads, inTouch bool) (*peer.Reply, bool) {
+	if !leads {
+		if r, ok := n.passOn(ctx, c, quickly); ok && r.Status != http.StatusServiceUnavailable {
+			return r, true
+		}
+	}
+	if !inTouch {
+		return n.elsewhere(ctx, c)
+	}
+	return nil, false
+}
+
 // standing tells whether this node leads or believes so, and whether it is in
 // touch with the state service.
 func (n *Node) standing() (leads, inTouch bool) {
@@ -138,17 +152,9 @@
 	if _, err := wire.PeekJobID(body); err != nil {
 		return api.Refuse(http.StatusBadRequest, err.Error())
 	}
-	call := &peer.Call{Op: peer.OpSubmit, Body: body}
 	leads, inTouch := n.standing()
-	if !leads {
-		if r, ok := n.passOn(ctx, call, quickly); ok && r.Status != http.StatusServiceUnavailable {
-			return r
-		}
-	}
-	if !inTouch {
-		if r, ok := n.elsewhere(ctx, call); ok {
-			return r
-		}
+	if r, ok := n.byOthers(ctx, &peer.Call{Op: peer.OpSubmit, Body: body}, leads, inTouch); ok {
+		return r
 	}
 	if leads {
 		return n.submitHere(ctx, body)
@@ -445,16 +451,8 @@
 	if final != nil {
 		return api.Encode(http.StatusOK, final)
 	}
-	call := &peer.Call{Op: peer.OpStatus, ID: id}
-	if !leads {
-		if r, ok := n.passOn(ctx, call, quickly); ok && r.Status != http.StatusServiceUnavailable {
-			return r
-		}
-	}
-	if !inTouch {
-		if r, ok := n.elsewhere(ctx, call); ok {
-			return r
-		}
+	if r, ok := n.byOthers(ctx, &peer.Call{Op: peer.OpStatus, ID: id}, leads, inTouch); ok {
+		return r
 	}
 	if leads {
 		return n.statusHere(ctx, id)
