Count the end of a lease from the commit of the last suspicion only

Found on reading: a machine made suspect, trusted and made suspect again while the log stood still had its count begin when the first entry was committed. A node that read as far as the trust may renew the lease after that.

Test: two suspicions with a trust between them, of which the first is committed.

--- a/internal/controller/house.go
+++ b/internal/controller/house.go
@@ -344,8 +344,8 @@
 	n.log.Info("machine in a zone that is cut off is suspect", "machine", mc.Info.Name, "zone", mc.Info.Zone, "tasks", len(mc.Runs))
 	seq := n.propose(&model.Entry{Kind: model.EntrySuspect, Machine: mc.ID})
 	n.whenCommitted(seq, func(ok bool) {
-		if ok && mc.Suspect {
-			mc.SuspectFrom = n.now()
+		if ok {
+			mc.SuspicionKnown(seq, n.now())
 		}
 	})
 }
--- a/internal/model/model.go
+++ b/internal/model/model.go
@@ -278,6 +278,7 @@
 	// SuspectFrom is since when every node that may renew the lease of a suspect
 	// machine either knows of that or has a copy of the log older than this.
 	SuspectFrom Time
+	suspectSeq  uint64 // the log's number of the entry that made it suspect
 	Failures    int // errors since the last completion
 	FailedJobs  map[JobID]bool
 	Sending     bool // a direct command is under way
@@ -524,7 +525,7 @@
 		if mc == nil {
 			return nil
 		}
-		mc.Suspect, mc.SuspectFrom = e.Kind != EntryTrust, 0
+		mc.Suspect, mc.SuspectFrom, mc.suspectSeq = e.Kind != EntryTrust, 0, seq
 		if e.Kind == EntryLapsed {
 			m.dropRuns(mc, now)
 		}
--- a/internal/model/model_test.go
+++ b/internal/model/model_test.go
@@ -399,17 +399,22 @@
 func TestLeaseEndIsEvidence(t *testing.T) {
 	const bound, lease = 20 * time.Second, 24 * time.Second
 	m, mc, run := small(t)
+	seq := uint64(8)
 	apply := func(k EntryKind, now Time) {
 		t.Helper()
-		if err := m.Apply(&Entry{Kind: k, Machine: 1}, 9, now); err != nil {
+		seq++
+		if err := m.Apply(&Entry{Kind: k, Machine: 1}, seq, now); err != nil {
 			t.Fatal(err)
 		}
 	}
+	apply(EntrySuspect, 5*time.Second)
+	apply(EntryTrust, 6*time.Second)
 	apply(EntrySuspect, 10*time.Second)
+	mc.SuspicionKnown(9, 10*time.Second) // the first one is committed, the second is not
 	if mc.Lapsed(bound, lease, time.Hour) || mc.Usable() {
 		t.Error("gone before the entry was committed, or still in use")
 	}
-	mc.SuspectFrom = 11 * time.Second
+	mc.SuspicionKnown(11, 11*time.Second)
 	if mc.Lapsed(bound, lease, mc.SuspectFrom+bound+lease+Time(0.9e9)) || !mc.Lapsed(bound, lease, mc.SuspectFrom+bound+lease+Time(1.2e9)) {
 		t.Error("not gone a second after the bound and the lease")
 	}
--- a/internal/model/observe.go
+++ b/internal/model/observe.go
@@ -53,6 +53,15 @@
 	return mc.Suspect && mc.SuspectFrom > 0 && now-mc.SuspectFrom > wait+wait/drift+Time(1e9)
 }
 
+// SuspicionKnown notes that the entry with a number, which made a machine suspect,
+// is committed now. An earlier one of several says nothing: between the two the
+// machine was trusted, and a node that read so far may renew its lease.
+func (mc *Machine) SuspicionKnown(seq uint64, now Time) {
+	if mc.Suspect && mc.suspectSeq == seq {
+		mc.SuspectFrom = now
+	}
+}
+
 // Token is the token under which this leader commands a machine.
 func (m *Model) Token(mc *Machine) uint64 { return m.TermBase + mc.Bump }
 
