--- a/internal/model/model.go
+++ b/internal/model/model.go
@@ -279,7 +279,7 @@
 	// machine either knows of that or has a copy of the log older than this.
 	SuspectFrom Time
 	suspectSeq  uint64 // the log's number of the entry that made it suspect
-	Failures    int // errors since the last completion
+	Failures    int    // errors since the last completion
 	FailedJobs  map[JobID]bool
 	Sending     bool // a direct command is under way
 	Probing     bool // it is being asked how it is
