--- a/internal/controller/users.go
+++ b/internal/controller/users.go
@@ -141,12 +141,6 @@
 	return api.Refuse(http.StatusNotImplemented, "unknown operation")
 }
 
-// leads tells whether this node should answer itself.
-func (n *Node) leads() (yes bool) {
-	n.ask(func() { yes = n.role != nil })
-	return yes
-}
-
 // Submit takes a job.
 func (n *Node) Submit(ctx context.Context, body []byte) *peer.Reply {
 	if _, err := wire.PeekJobID(body); err != nil {
--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -12,6 +12,7 @@
 	"cmp"
 	"container/heap"
 	"slices"
+	"sort"
 
 	"fieldhill/internal/config"
 	"fieldhill/internal/model"
@@ -766,15 +767,16 @@
 		attempt = max(attempt, j.Tasks[i].Attempt)
 	}
 	k := kindOf(j)
-	known := j.AvoidedOn == nil && covered(s.full, k, t.need) // not even one member finds room
-	if known {
-	} else if plan := s.planGang(m, t, n); plan != nil {
-		for _, st := range plan {
-			s.put(m, j, st, j.NextWaiting(), attempt+1, do)
+	if j.AvoidedOn != nil || !covered(s.full, k, t.need) { // else not even one member finds room
+		if plan := s.planGang(m, t, n); plan != nil {
+			for _, st := range plan {
+				s.put(m, j, st, j.NextWaiting(), attempt+1, do)
+			}
+			return
+		}
+		if len(t.cands) == 0 && !t.limited && j.AvoidedOn == nil {
+			s.full = append(s.full, shape{k, t.need})
 		}
-		return
-	} else if len(t.cands) == 0 && !t.limited && j.AvoidedOn == nil {
-		s.full = append(s.full, shape{k, t.need})
 	}
 	if n == 1 {
 		s.makeRoom(m, t, now, do)
@@ -974,14 +976,6 @@
 	return left
 }
 
-// member is room for one more member of a gang on a machine.
-type member struct {
-	st   *seat
-	cost float64
-	runs []*model.Run // to be stopped for this and the earlier ones there
-	at   int
-}
-
 // makeGangRoom keeps room for all members of a gang, in one zone if it must be:
 // where stopping others does the least harm. If there is not enough anywhere,
 // the first gang in the queue keeps what it finds in the best zone: without
@@ -991,8 +985,8 @@
 	if j.Spec.Spread {
 		return
 	}
-	zones := map[int32][]member{}
-	could := map[int32]int{} // members that find room when other gangs end
+	zones := map[int32][]option{} // room for one more member each; runs are those of the earlier ones there too
+	could := map[int32]int{}      // members that find room when other gangs end
 	for i := range s.seats {
 		st := &s.seats[i]
 		if !s.suits(m, j, st, t.need) || !s.serviceMay(j, st) {
@@ -1015,22 +1009,17 @@
 			if !ok {
 				break
 			}
-			zones[zone] = append(zones[zone], member{st, cost - before, runs, i})
+			zones[zone] = append(zones[zone], option{st, cost - before, runs, i})
 			before = cost
 		}
 	}
-	var best []member
+	var best []option
 	bestCost := 0.0
 	for zone, list := range zones {
 		if could[zone] < n {
 			continue
 		}
-		slices.SortStableFunc(list, func(a, b member) int {
-			if c := cmp.Compare(a.cost, b.cost); c != 0 {
-				return c
-			}
-			return cmp.Compare(a.at, b.at)
-		})
+		sort.Stable(options(list))
 		list = list[:min(n, len(list))]
 		cost := 0.0
 		for _, o := range list {
