Run tests in virtual time on one processor: the race detector's records were overwritten

All timers of a synctest bubble run in one context of the detector. While the bubble's root runs those of an instant, a goroutine that one of them woke may read a timer's channel that is due too, and runs that timer in the same context, on another thread. What one thread records there the other overwrites; a goroutine started by a timer's function is where it shows, in the stack depot.

internal/bubble has Main for the TestMain of packages that use synctest: one processor.

--- /dev/null
+++ b/internal/peer/main_test.go
@@ -0,0 +1,9 @@
+package peer
+
+import (
+	"testing"
+
+	"fieldhill/internal/bubble"
+)
+
+func TestMain(m *testing.M) { bubble.Main(m) }
