--- a/internal/controller/node.go
+++ b/internal/controller/node.go
@@ -78,6 +78,7 @@
 	caught    time.Time            // the replica was complete then
 	keepUntil map[string]time.Time // workers that don't reach the leader, and until when they are not sent to it
 	apartSaid time.Time            // when this node last told the leader that it does not reach it
+	snapEvery int                  // batches between two snapshots
 	dirty     bool
 	lastRound time.Time
 	gap       time.Duration // between rounds that events wake
@@ -163,7 +164,7 @@
 	for _, m := range set.Members {
 		n.links[m.Node] = peer.NewLink(via, m.Node, m.Addr, logger)
 	}
-	n.gap = minGap
+	n.gap, n.snapEvery = minGap, snapEvery
 	n.reset()
 	return n
 }
@@ -489,7 +490,7 @@
 		n.direct(mc)
 	}
 	r.sinceSnap++
-	if r.sinceSnap > snapEvery && len(r.queue) == 0 && r.compact != nil {
+	if r.sinceSnap > n.snapEvery && len(r.queue) == 0 && r.compact != nil {
 		select {
 		case r.compact <- snapshot{seq, n.m.Snapshot()}:
 			r.sinceSnap = 0
@@ -727,16 +728,25 @@
 		}
 	}()
 	go func() {
+		c := n.oplog.Compactor(&r.ld)
+		// What earlier terms left uncompacted counts too, or a log whose leaders change often
+		// would grow without bound.
+		if seq, err := c.InForce(ctx); err == nil {
+			n.post(func() { r.sinceSnap = int(r.committed - seq) })
+		}
 		for {
 			select {
 			case <-ctx.Done():
 				return
 			case s := <-r.compact:
-				err := n.oplog.Compact(ctx, &r.ld, s.seq, s.data)
-				n.log.Debug("log compacted", "seq", s.seq, "bytes", len(s.data), "err", err)
-				if errors.Is(err, oplog.ErrDeposed) {
+				switch err := c.Compact(ctx, s.seq, s.data); {
+				case errors.Is(err, oplog.ErrDeposed):
 					errs <- err
 					return
+				case err != nil && ctx.Err() == nil:
+					n.log.Warn("log not compacted, the old snapshot stays", "seq", s.seq, "bytes", len(s.data), "err", err)
+				default:
+					n.log.Debug("log compacted", "seq", s.seq, "bytes", len(s.data), "err", err)
 				}
 			}
 		}
--- a/internal/controller/world_test.go
+++ b/internal/controller/world_test.go
@@ -75,6 +75,9 @@
 	return -1
 }
 
+// compactEvery is after how many batches nodes that are started now compact the log; 0: as usual.
+var compactEvery int
+
 func metricsOf(node string) string { return "10.4.0." + node[1:] + ":80" }
 
 func controller(t *testing.T) standin.Controller {
@@ -88,6 +91,9 @@
 		log := slog.New(slog.NewTextHandler(out, &slog.HandlerOptions{Level: level})).With("node", s.Node)
 		n := New(h, s, Options{Beta: 0.8, Threshold: 0.5, WaitRounds: 2, Round: 2 * time.Second, Metrics: metricsOf(s.Node)}, log)
 		n.ctx = ctx
+		if compactEvery > 0 {
+			n.snapEvery = compactEvery
+		}
 		running.mu.Lock()
 		running.all[s.Node] = n
 		running.mu.Unlock()
@@ -608,10 +614,14 @@
 )
 
 // TestRandomDays throws every failure at the service, at random but with fixed
-// seeds, and demands that the rules hold and that everything ends well.
+// seeds, and demands that the rules hold and that everything ends well. Every other one
+// compacts the log every few batches: as usual it would not be once in most days, and what a
+// compaction after a change of leaders deleted too much was found by none.
 func TestRandomDays(t *testing.T) {
+	defer func() { compactEvery = 0 }()
 	for seed := *from; seed < *from+*days; seed++ {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			compactEvery = int(seed%2) * 10
 			inWorld(t, seed, func(w *standin.World) { randomDay(t, w, rand.New(rand.NewPCG(seed, 9))) })
 		})
 	}
--- /dev/null
+++ b/internal/oplog/compact_test.go
@@ -0,0 +1,185 @@
+package oplog_test
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"fieldhill/internal/bubble"
+	"fieldhill/internal/lead"
+	"fieldhill/internal/oplog"
+	"fieldhill/internal/standin"
+	"fieldhill/internal/statesvc"
+)
+
+func TestMain(m *testing.M) { bubble.Main(m) }
+
+// store is a state service with logs that use it, each as a node of its own.
+type store struct {
+	t    *testing.T
+	ctx  context.Context
+	net  *standin.Network
+	last uint64 // batch appended
+}
+
+type node struct {
+	*oplog.Log
+	svc *statesvc.Client
+	won *lead.Won
+}
+
+const stateAt = "state:1"
+
+var silent = slog.New(slog.DiscardHandler)
+
+func inStore(t *testing.T, f func(s *store)) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, stop := context.WithCancel(context.Background())
+		s := &store{t: t, ctx: ctx, net: standin.NewNetwork()}
+		go standin.NewState(1).Serve(ctx, s.net.Host("state"), stateAt)
+		synctest.Wait()
+		f(s)
+		stop()
+		time.Sleep(time.Minute)
+	})
+}
+
+// open makes a node that has read the log as it is now.
+func (s *store) open(name string) *node {
+	n := &node{svc: statesvc.New(s.net.Host(name), stateAt, 1000)}
+	n.Log = oplog.New(n.svc, 400, 8, 12, silent)
+	if _, err := n.Load(s.ctx); err != nil {
+		s.t.Errorf("%s reads the log: %v", name, err)
+	}
+	return n
+}
+
+func (s *store) elect(n *node, name string) {
+	var err error
+	if n.won, err = lead.Acquire(s.ctx, n.svc, name, silent); err != nil {
+		s.t.Fatal(err)
+	}
+}
+
+func (s *store) depose(n *node) { _ = n.svc.Revoke(s.ctx, n.won.Lease) }
+
+func data(seq uint64) []byte { return fmt.Appendf(nil, "batch %d", seq) }
+
+// snapshot is some parts long.
+func snapshot(seq uint64) []byte { return bytes.Repeat(fmt.Appendf(nil, "to %d;", seq), 3000) }
+
+func (s *store) append(n *node, k int) {
+	for range k {
+		s.last++
+		if err := n.Append(s.ctx, &n.won.Leader, oplog.Batch{Seq: s.last, Term: n.won.Term, Data: data(s.last)}); err != nil {
+			s.t.Fatal(err)
+		}
+	}
+}
+
+// whole demands that a node which starts now finds everything that was appended.
+func (s *store) whole(when string) (snapSeq uint64) {
+	s.t.Helper()
+	n := oplog.New(statesvc.New(s.net.Host("new"), stateAt, 1000), 400, 8, 12, silent)
+	got, err := n.Load(s.ctx)
+	if err != nil {
+		s.t.Fatalf("%s: %v", when, err)
+	}
+	if got.SnapSeq > 0 && !bytes.Equal(got.Snapshot, snapshot(got.SnapSeq)) {
+		s.t.Errorf("%s: the snapshot to %d is not what was written", when, got.SnapSeq)
+	}
+	next := got.SnapSeq
+	for _, b := range got.Batches {
+		if next++; b.Seq != next || !bytes.Equal(b.Data, data(next)) {
+			s.t.Errorf("%s: batch %d is %d, %q", when, next, b.Seq, b.Data)
+		}
+	}
+	if next != s.last {
+		s.t.Errorf("%s: the log ends at %d, not %d", when, next, s.last)
+	}
+	return got.SnapSeq
+}
+
+// TestCompactionAfterTakeover: a follower that takes over compacts a log that its predecessor
+// has compacted since it read it. It held the predecessor's snapshot for the one that it had
+// read itself, so that its own was refused, and deleted the batches behind it all the same:
+// until its next compaction no node that started could read the log.
+func TestCompactionAfterTakeover(t *testing.T) {
+	inStore(t, func(s *store) {
+		a, b := s.open("a"), s.open("b")
+		s.elect(a, "a")
+		s.append(a, 6)
+		if err := a.Compactor(&a.won.Leader).Compact(s.ctx, 4, snapshot(4)); err != nil {
+			t.Fatal(err)
+		}
+		s.depose(a)
+		s.elect(b, "b")
+		s.append(b, 4)
+		if err := b.Compactor(&b.won.Leader).Compact(s.ctx, 9, snapshot(9)); err != nil {
+			t.Fatal(err)
+		}
+		if seq := s.whole("after the second leader's compaction"); seq != 9 {
+			t.Errorf("the snapshot in force is that to %d", seq)
+		}
+	})
+}
+
+// TestCompactionCutAnywhere ends compactions of three leaders in turn at any moment: the log
+// is whole after each, and the last one, which is not cut, leaves nothing behind.
+func TestCompactionCutAnywhere(t *testing.T) {
+	const step = time.Millisecond
+	cut := 0
+	for at := step; ; at += step {
+		done := false
+		inStore(t, func(s *store) {
+			nodes := []*node{s.open("a"), s.open("b"), s.open("c")}
+			for i, n := range nodes {
+				s.elect(n, string(rune('a'+i)))
+				s.append(n, 20)
+				ctx, stop := context.WithCancel(s.ctx)
+				if i < 2 {
+					time.AfterFunc(at, stop)
+				}
+				err := n.Compactor(&n.won.Leader).Compact(ctx, s.last-3, snapshot(s.last-3))
+				stop()
+				time.Sleep(3 * time.Second) // what was under way has arrived
+				s.whole(fmt.Sprintf("%v into compaction %d", at, i))
+				switch {
+				case i < 2 && errors.Is(err, context.Canceled):
+					cut++
+				case err != nil:
+					t.Errorf("compaction %d, to be cut after %v: %v", i, at, err)
+				case i == 1:
+					done = true
+				}
+				s.depose(n)
+			}
+			page, err := nodes[0].svc.Range(s.ctx, "f/", "", 1000)
+			if err != nil {
+				t.Fatal(err)
+			}
+			var kept []string
+			for _, it := range page.Items {
+				if strings.HasPrefix(it.Key, "f/log/") || strings.HasPrefix(it.Key, "f/snap/") {
+					kept = append(kept, it.Key)
+				}
+			}
+			part := nodes[0].MaxData()
+			if want := 3 + (len(snapshot(57))+part-1)/part; len(kept) != want {
+				t.Errorf("cut after %v: %d keys are left instead of %d: %v", at, len(kept), want, kept)
+			}
+		})
+		if done || t.Failed() {
+			break
+		}
+	}
+	if cut < 20 {
+		t.Errorf("only %d compactions were cut", cut)
+	}
+}
--- a/internal/oplog/oplog.go
+++ b/internal/oplog/oplog.go
@@ -24,6 +24,7 @@
 	"errors"
 	"fmt"
 	"log/slog"
+	"net/http"
 	"slices"
 	"strings"
 	"time"
@@ -79,20 +80,15 @@
 	Batches  []Batch
 	Revision uint64 // follow on from here
 	Leader   *Leader
-	MetaVer  uint64
-	Logs     int // number of batch keys that exist
 }
 
 // Log reads and writes the log.
 type Log struct {
-	svc      *statesvc.Client
-	writes   *rate.Limiter
-	maxData  int
-	txnOps   int
-	logger   *slog.Logger
-	metaVer  uint64
-	snapSeq  uint64 // of the snapshot in force
-	oldParts []string
+	svc     *statesvc.Client
+	writes  *rate.Limiter
+	maxData int
+	txnOps  int
+	logger  *slog.Logger
 }
 
 // New makes a log on the state service; writeRPS and valueKB are its limits.
@@ -165,17 +161,16 @@
 			return nil, err
 		}
 	}
-	l.oldParts = nil
 	if it := byKey[keyMeta]; it != nil {
 		v, _, err := decodeValue(it.Value)
 		if err != nil {
 			return nil, err
 		}
-		out.SnapSeq, out.MetaVer = v.Seq, it.Version
+		out.SnapSeq = v.Seq
 		for p := range v.Count {
 			part := byKey[keySnap(v.Seq, p)]
 			if part == nil {
-				return nil, errGap
+				return nil, fmt.Errorf("%w: part %d of the snapshot to %d", errGap, p, v.Seq)
 			}
 			_, data, err := decodeValue(part.Value)
 			if err != nil {
@@ -187,19 +182,11 @@
 	next := out.SnapSeq + 1
 	for i := range items {
 		key := items[i].Key
-		if strings.HasPrefix(key, prefixSnp) {
-			l.oldParts = append(l.oldParts, key)
-		}
-		if !strings.HasPrefix(key, prefixLog) {
-			continue
-		}
-		out.Logs++
-		if key < keyLog(next) {
-			l.oldParts = append(l.oldParts, key)
+		if !strings.HasPrefix(key, prefixLog) || key < keyLog(next) {
 			continue
 		}
 		if key != keyLog(next) {
-			return nil, errGap
+			return nil, fmt.Errorf("%w: number %d, the snapshot is to %d", errGap, next, out.SnapSeq)
 		}
 		v, data, err := decodeValue(items[i].Value)
 		if err != nil {
@@ -208,12 +195,6 @@
 		out.Batches = append(out.Batches, Batch{Seq: next, Term: v.Term, Data: data})
 		next++
 	}
-	if out.SnapSeq > 0 {
-		l.oldParts = slices.DeleteFunc(l.oldParts, func(k string) bool {
-			return strings.HasPrefix(k, strings.TrimSuffix(keySnap(out.SnapSeq, 0), "0000"))
-		})
-	}
-	l.metaVer, l.snapSeq = out.MetaVer, out.SnapSeq
 	return out, nil
 }
 
@@ -343,66 +324,176 @@
 	}
 }
 
+// Compactor compacts the log for one term of a leader.
+type Compactor struct {
+	log   *Log
+	ld    *Leader
+	swept bool // what earlier terms left behind is deleted
+}
+
+// Compactor makes one. What is in force it reads itself: between the time at which this node
+// read the log and its election others may have compacted it.
+func (l *Log) Compactor(ld *Leader) *Compactor { return &Compactor{log: l, ld: ld} }
+
+// errMoved says that another snapshot came into force, which only another leader can bring about.
+var errMoved = errors.New("oplog: the snapshot in force was replaced by another leader")
+
+// meta reads which snapshot is in force, of how many parts, and the version of the key that
+// says so; all are 0 if there is none.
+func (l *Log) meta(ctx context.Context) (v *wire.LogValue, ver uint64, err error) {
+	it, err := l.svc.Get(ctx, keyMeta)
+	switch {
+	case mphttp.Code(err) == http.StatusNotFound:
+		return &wire.LogValue{}, 0, nil
+	case err != nil:
+		return nil, 0, err
+	}
+	v, _, err = decodeValue(it.Value)
+	return v, it.Version, err
+}
+
+// again repeats a read until it has an answer.
+func again(ctx context.Context, read func() error) error {
+	err := read()
+	for err != nil {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-time.After(500 * time.Millisecond):
+		}
+		err = read()
+	}
+	return nil
+}
+
+// InForce tells to which number the snapshot in force is, 0 without one.
+func (c *Compactor) InForce(ctx context.Context) (seq uint64, err error) {
+	err = again(ctx, func() error {
+		v, _, err := c.log.meta(ctx)
+		if err == nil {
+			seq = v.Seq
+		}
+		return err
+	})
+	return seq, err
+}
+
 // Compact writes a snapshot taken at a number and lets go of what it replaces,
 // a few keys at a time. Each step leaves a log that loads: parts first, then the
-// key that names them, then the deletions.
-func (l *Log) Compact(ctx context.Context, ld *Leader, seq uint64, snap []byte) error {
+// key that names them, then the deletions. Nothing is deleted before that key surely
+// names this snapshot: a leader that held its predecessor's snapshot for an older one
+// once had its own refused and went on to delete the batches behind the one in force.
+func (c *Compactor) Compact(ctx context.Context, seq uint64, snap []byte) error {
+	l := c.log
+	var old *wire.LogValue
+	var ver uint64
+	if err := again(ctx, func() (err error) { old, ver, err = l.meta(ctx); return err }); err != nil {
+		return err
+	}
+	if old.Seq >= seq {
+		return nil
+	}
 	deposed := func(failed []string) error {
 		if slices.Contains(failed, KeyLeader) {
 			return ErrDeposed
 		}
 		return nil
 	}
-	guard := wire.Guard{Key: KeyLeader, Version: ld.Version}
+	guard := wire.Guard{Key: KeyLeader, Version: c.ld.Version}
 	parts := 0
-	var keys []string
 	for rest := snap; len(rest) > 0; parts++ {
 		n := min(len(rest), l.maxData)
 		key := keySnap(seq, parts)
-		keys = append(keys, key)
 		t := &wire.Txn{If: []wire.Guard{guard, {Key: key}}, Then: []wire.Write{{Put: key, Value: &wire.LogValue{
-			Version: version, Term: ld.Term, Data: base64.StdEncoding.EncodeToString(rest[:n])}}}}
+			Version: version, Term: c.ld.Term, Data: base64.StdEncoding.EncodeToString(rest[:n])}}}}
 		if err := l.paced(ctx, t, deposed); err != nil {
 			return err
 		}
 		rest = rest[n:]
 	}
-	meta := &wire.Txn{
-		If:   []wire.Guard{guard, {Key: keyMeta, Version: l.metaVer}},
-		Then: []wire.Write{{Put: keyMeta, Value: &wire.LogValue{Version: version, Term: ld.Term, Seq: seq, Count: parts}}},
-	}
-	if err := l.commit(ctx, meta, deposed); err != nil {
+	err := l.commit(ctx, &wire.Txn{
+		If:   []wire.Guard{guard, {Key: keyMeta, Version: ver}},
+		Then: []wire.Write{{Put: keyMeta, Value: &wire.LogValue{Version: version, Term: c.ld.Term, Seq: seq, Count: parts}}},
+	}, func(failed []string) error {
+		if err := deposed(failed); err != nil {
+			return err
+		}
+		// An earlier copy of this write went through, or somebody else's did: the key says which.
+		var now *wire.LogValue
+		if err := again(ctx, func() (err error) { now, _, err = l.meta(ctx); return err }); err != nil {
+			return err
+		}
+		if now.Seq != seq || now.Term != c.ld.Term {
+			return errMoved
+		}
+		return nil
+	})
+	if err != nil {
 		return err
 	}
-	it, err := l.svc.Get(ctx, keyMeta)
-	for err != nil {
-		select {
-		case <-ctx.Done():
-			return ctx.Err()
-		case <-time.After(500 * time.Millisecond):
-		}
-		it, err = l.svc.Get(ctx, keyMeta)
+	var drop []string
+	for s := old.Seq + 1; s <= seq; s++ {
+		drop = append(drop, keyLog(s))
 	}
-	l.metaVer = it.Version
-	old := l.oldParts
-	for s := l.snapSeq + 1; s <= seq; s++ {
-		old = append(old, keyLog(s))
+	for p := range old.Count {
+		drop = append(drop, keySnap(old.Seq, p))
 	}
-	l.snapSeq, l.oldParts = seq, keys
-	for len(old) > 0 {
-		n := min(len(old), l.txnOps, l.writes.Burst()/2)
+	if !c.swept {
+		more, err := l.leftBehind(ctx, old.Seq, seq)
+		if err != nil {
+			return err
+		}
+		drop = append(drop, more...)
+	}
+	for len(drop) > 0 {
+		n := min(len(drop), l.txnOps, max(1, l.writes.Burst()/2))
 		t := &wire.Txn{If: []wire.Guard{guard}}
-		for _, k := range old[:n] {
+		for _, k := range drop[:n] {
 			t.Then = append(t.Then, wire.Write{Delete: k})
 		}
 		if err := l.paced(ctx, t, deposed); err != nil {
 			return err
 		}
-		old = old[n:]
+		drop = drop[n:]
 	}
+	c.swept = true
 	return nil
 }
 
+// leftBehind lists what compactions that were cut short have left: batches that the last
+// snapshot covered, and parts of snapshots other than it and the one that replaced it.
+func (l *Log) leftBehind(ctx context.Context, last, now uint64) (keys []string, err error) {
+	known := func(key string) bool {
+		for _, seq := range []uint64{last, now} {
+			if strings.HasPrefix(key, strings.TrimSuffix(keySnap(seq, 0), "0000")) {
+				return true
+			}
+		}
+		return false
+	}
+	for _, in := range []struct{ prefix, end string }{{prefixLog, keyLog(last + 1)}, {prefixSnp, keySnap(now, 0)}} {
+		after, more := "", true
+		for more {
+			var page *wire.Items
+			if err := again(ctx, func() (err error) { page, err = l.svc.Range(ctx, in.prefix, after, sweepPage); return err }); err != nil {
+				return nil, err
+			}
+			more = page.More && len(page.Items) > 0
+			for _, it := range page.Items {
+				if after = it.Key; after >= in.end {
+					more = false
+				} else if !known(after) {
+					keys = append(keys, after)
+				}
+			}
+		}
+	}
+	return keys, nil
+}
+
+// sweepPage is how many keys a sweep reads at once, with their values of some kilobytes each.
+const sweepPage = 64
+
 // Apart is a node that reads the log but does not reach the leader.
 type Apart struct {
 	Node    string
