Keep sockets for users: workers give theirs back when there are many, commands are bounded

It accepted 60% of its sockets and workers keep theirs, so health checks and users found none; and direct commands had no bound at all: a round that places on a thousand machines, or hundreds that hang, opened as many sockets at once.

When three quarters of the connections that a server may take are open, answers to reports end theirs: a worker needs one every few seconds. Commands under way and idle connections to workers have a sixth of the sockets each; a command that finds no room in half a second was surely not sent, and goes with the answer to the worker's next report.

--- a/internal/api/api.go
+++ b/internal/api/api.go
@@ -11,6 +11,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"golang.org/x/net/netutil"
@@ -52,8 +53,30 @@
 // Kinds name the requests that Handler tells of.
 var Kinds = []string{"submit", "status", "cancel", "report"}
 
-// Handler routes requests to a service, and tells of each answer and how long it took.
-func Handler(s Service, logger *slog.Logger, answered func(kind string, status int, took time.Duration)) http.Handler {
+// Crowd bounds and counts a server's open connections.
+type Crowd struct {
+	Most int // connections at once; further ones are not accepted until some have ended
+	open atomic.Int64
+}
+
+// dense tells whether so many connections are open that workers are to give theirs back: they
+// come every few seconds, while users and health checks need to get in at any time. A leader of
+// more workers than connections used to accept nobody for as long as they held on to theirs.
+func (c *Crowd) dense() bool { return c.open.Load()*4 > int64(c.Most)*3 }
+
+// note is for http.Server.ConnState.
+func (c *Crowd) note(_ net.Conn, s http.ConnState) {
+	switch s {
+	case http.StateNew:
+		c.open.Add(1)
+	case http.StateClosed, http.StateHijacked:
+		c.open.Add(-1)
+	}
+}
+
+// Handler routes requests to a service, and tells of each answer and how long it took. The
+// crowd is that of the server that it will serve.
+func Handler(s Service, logger *slog.Logger, crowd *Crowd, answered func(kind string, status int, took time.Duration)) http.Handler {
 	mux := http.NewServeMux()
 	handle := func(kind, pattern string, f func(w http.ResponseWriter, r *http.Request) *peer.Reply) {
 		mux.HandleFunc(pattern, func(w http.ResponseWriter, r *http.Request) {
@@ -84,6 +107,9 @@
 		}
 	})
 	handle("report", "POST "+wire.PathReport, func(w http.ResponseWriter, r *http.Request) *peer.Reply {
+		if crowd.dense() {
+			w.Header().Set("Connection", "close")
+		}
 		body, err := readBody(w, r)
 		var rep wire.Report
 		if err == nil {
@@ -128,15 +154,15 @@
 
 // Serve answers on a listener until the context ends, with a bounded number of
 // connections.
-func Serve(ctx context.Context, ln net.Listener, maxConns int, h http.Handler, logger *slog.Logger) error {
+func Serve(ctx context.Context, ln net.Listener, crowd *Crowd, h http.Handler, logger *slog.Logger) error {
 	srv := &http.Server{
-		Handler: h, ReadHeaderTimeout: 10 * time.Second, ReadTimeout: 15 * time.Second, WriteTimeout: 15 * time.Second,
+		Handler: h, ConnState: crowd.note, ReadHeaderTimeout: 10 * time.Second, ReadTimeout: 15 * time.Second, WriteTimeout: 15 * time.Second,
 		IdleTimeout: 90 * time.Second, MaxHeaderBytes: 8 << 10,
 		ErrorLog: slog.NewLogLogger(quiet{logger.Handler()}, slog.LevelDebug),
 	}
 	stop := context.AfterFunc(ctx, func() { srv.Close() })
 	defer stop()
-	err := srv.Serve(netutil.LimitListener(ln, maxConns))
+	err := srv.Serve(netutil.LimitListener(ln, crowd.Most))
 	if ctx.Err() != nil || errors.Is(err, http.ErrServerClosed) {
 		return ctx.Err()
 	}
--- /dev/null
+++ b/internal/api/api_test.go
@@ -0,0 +1,114 @@
+package api
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"log/slog"
+	"net/http"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"fieldhill/internal/bubble"
+	"fieldhill/internal/mphttp"
+	"fieldhill/internal/peer"
+	"fieldhill/internal/standin"
+	"fieldhill/wire"
+)
+
+func TestMain(m *testing.M) { bubble.Main(m) }
+
+// calm answers everything at once.
+type calm struct{}
+
+func (calm) Submit(context.Context, []byte) *peer.Reply { return &peer.Reply{Status: 201} }
+func (calm) Status(context.Context, string) *peer.Reply { return &peer.Reply{Status: 200} }
+func (calm) Cancel(context.Context, string) *peer.Reply { return &peer.Reply{Status: 200} }
+func (calm) Report(context.Context, *wire.Report) *peer.Reply {
+	return Encode(200, &wire.ReportAnswer{})
+}
+func (calm) Ready() bool { return true }
+
+// TestWorkersGiveConnectionsBack: three times as many workers as the server takes connections
+// are all answered, and so are health checks and users, who come in between. Workers used to
+// keep their connections from one report to the next, and nobody else got in.
+func TestWorkersGiveConnectionsBack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const most, workers, every = 20, 60, 5 * time.Second
+		ctx, stop := context.WithCancel(t.Context())
+		net, log := standin.NewNetwork(), slog.New(slog.DiscardHandler)
+		ln, err := net.Host("node").Listen("node:80")
+		if err != nil {
+			t.Fatal(err)
+		}
+		crowd := &Crowd{Most: most}
+		go Serve(ctx, ln, crowd, Handler(calm{}, log, crowd, func(string, int, time.Duration) {}), log)
+		failed := make(chan error, 1000)
+		for i := range workers {
+			go func() {
+				c := mphttp.New(net.Host(fmt.Sprint("w", i)), 1, 1, 2*time.Second)
+				time.Sleep(time.Duration(i) * every / workers)
+				for ctx.Err() == nil {
+					cctx, cancel := context.WithTimeout(ctx, 4*time.Second)
+					err := c.Do(cctx, "POST", "node:80", wire.PathReport, &wire.Report{Machine: fmt.Sprint("m", i), Session: 1}, nil, wire.MaxBody)
+					if cancel(); err != nil && ctx.Err() == nil {
+						failed <- fmt.Errorf("worker %d: %w", i, err)
+					}
+					time.Sleep(every)
+				}
+				c.Close()
+			}()
+		}
+		for i := range 30 {
+			time.Sleep(time.Second)
+			c := mphttp.New(net.Host("balancer"), 1, 1, time.Second) // a connection of its own each time
+			cctx, cancel := context.WithTimeout(ctx, time.Second)
+			if err := c.Do(cctx, "GET", "node:80", wire.PathReady, nil, nil, 100); err != nil {
+				t.Errorf("health check %d: %v", i, err)
+			}
+			cancel()
+			c.Close()
+		}
+		stop()
+		time.Sleep(time.Minute)
+		close(failed)
+		for err := range failed {
+			t.Error(err)
+		}
+	})
+}
+
+// TestBodies: what is too long or malformed is refused with its reason, and not read on.
+func TestBodies(t *testing.T) {
+	h := Handler(calm{}, slog.New(slog.DiscardHandler), &Crowd{Most: 10}, func(string, int, time.Duration) {})
+	for _, c := range []struct {
+		path string
+		body []byte
+		want int
+	}{
+		{wire.PathJobs, make([]byte, wire.MaxBody), 201},
+		{wire.PathJobs, make([]byte, wire.MaxBody+1), 400},
+		{wire.PathReport, []byte("?"), 400},
+		{wire.PathReport, []byte{0x80}, 400}, // no machine
+	} {
+		w := &recorder{header: http.Header{}}
+		r, err := http.NewRequest("POST", c.path, bytes.NewReader(c.body))
+		if err != nil {
+			t.Fatal(err)
+		}
+		if h.ServeHTTP(w, r); w.status != c.want {
+			t.Errorf("%d bytes to %s got %d %q, not %d", len(c.body), c.path, w.status, w.body.Bytes(), c.want)
+		}
+	}
+}
+
+type recorder struct {
+	header http.Header
+	status int
+	body   bytes.Buffer
+}
+
+func (r *recorder) Header() http.Header         { return r.header }
+func (r *recorder) WriteHeader(status int)      { r.status = status }
+func (r *recorder) Write(b []byte) (int, error) { return r.body.Write(b) }
--- a/internal/controller/node.go
+++ b/internal/controller/node.go
@@ -155,7 +155,7 @@
 		via: via, set: set, opt: opt, log: logger, start: time.Now(),
 		state:  statesvc.New(via, set.Endpoints.State, max(4, p.State.RPS/members*0.95)),
 		cloud:  cloud.New(via, set.Endpoints.Cloud, p.Cloud.RPS*0.8),
-		worker: worker.New(via, 3*time.Second, max(16, p.Limits.MaxSockets/4)),
+		worker: worker.New(via, 3*time.Second, max(32, p.Limits.MaxSockets/3)),
 		stats:  stats.New(api.Kinds...),
 		links:  map[string]*peer.Link{}, work: make(chan func(), 512), ended: make(chan struct{}), keepUntil: map[string]time.Time{},
 	}
@@ -210,10 +210,12 @@
 	for _, l := range n.links {
 		duty("link", func() error { l.Run(ctx); return nil })
 	}
-	conns := max(32, n.set.Params.Limits.MaxSockets*6/10)
-	duty("api", func() error { return api.Serve(ctx, ln, conns, api.Handler(n, n.log, n.stats.Answered), n.log) })
+	// Sockets: six parts in ten for who comes, a third for commands to workers, the rest for the
+	// state service, the cloud, the other controllers and what is just closing.
+	crowd := &api.Crowd{Most: max(32, n.set.Params.Limits.MaxSockets*6/10)}
+	duty("api", func() error { return api.Serve(ctx, ln, crowd, api.Handler(n, n.log, crowd, n.stats.Answered), n.log) })
 	if mln != nil {
-		duty("metrics", func() error { return api.Serve(ctx, mln, metricsConns, n.stats.Page(n.look), n.log) })
+		duty("metrics", func() error { return api.Serve(ctx, mln, &api.Crowd{Most: metricsConns}, n.stats.Page(n.look), n.log) })
 	}
 	n.log.Info("started", "node", n.set.Node, "zone", n.set.Zone, "bind", n.set.Bind, "pid", os.Getpid())
 	<-ctx.Done()
--- a/internal/worker/worker.go
+++ b/internal/worker/worker.go
@@ -15,14 +15,23 @@
 type Client struct {
 	http    *mphttp.Client
 	timeout time.Duration
+	room    chan struct{} // for commands under way
 }
 
 // New makes a client; a command without an answer is given up after the timeout,
-// and may be executed later all the same.
-func New(via host.Net, timeout time.Duration, hosts int) *Client {
-	return &Client{http: mphttp.New(via, 1, hosts, timeout), timeout: timeout}
+// and may be executed later all the same. It keeps up to half of so many connections when they
+// are idle, and sends as many commands at once: when a thousand machines are given work in the
+// same moment, or hundreds do not answer, its sockets must not be all that the process has.
+func New(via host.Net, timeout time.Duration, conns int) *Client {
+	return &Client{http: mphttp.New(via, 1, conns/2, timeout), timeout: timeout, room: make(chan struct{}, max(1, conns/2))}
 }
 
+// waitRoom is how long a command waits until there are fewer under way. Then it is left to the
+// answer to the worker's next report.
+const waitRoom = 500 * time.Millisecond
+
+var errCrowded = errors.New("worker: too many commands are under way")
+
 // Close ends idle connections.
 func (c *Client) Close() { c.http.Close() }
 
@@ -47,6 +56,16 @@
 
 // Orders sends commands. The report is the worker's, if it sent one.
 func (c *Client) Orders(ctx context.Context, addr string, o *wire.Orders) (Fate, *wire.Report, error) {
+	wait := time.NewTimer(waitRoom)
+	defer wait.Stop()
+	select {
+	case c.room <- struct{}{}:
+		defer func() { <-c.room }()
+	case <-wait.C:
+		return Unsent, nil, errCrowded
+	case <-ctx.Done():
+		return Unsent, nil, ctx.Err()
+	}
 	ctx, cancel := context.WithTimeout(ctx, c.timeout)
 	defer cancel()
 	var r wire.Report
