--- /dev/null
+++ b/internal/sched/gang.go
@@ -0,0 +1,207 @@
+package sched
+
+import (
+	"cmp"
+	"slices"
+	"sort"
+
+	"fieldhill/internal/model"
+)
+
+// This file places gangs, all members or none.
+
+// gang places all tasks of a gang or none. A gang that lost a member is stopped
+// as a whole first; its next attempt begins when nothing of the old one is left.
+func (s *Sched) gang(m *model.Model, t *turn, now model.Time, do Doer) {
+	j := t.j
+	if j.Live > 0 {
+		j.Why = whyEnding
+		for i := range j.Tasks {
+			if r := j.Tasks[i].Run; r != nil && !r.Stop {
+				do.Stop(r, false, "the gang lost a member")
+			}
+		}
+		return
+	}
+	n := j.Waiting()
+	var leave teamLeave
+	allowed := s.teamAllows(j, n)
+	if !allowed {
+		j.Why = whyTeam
+		could := false
+		if leave, could = s.teamLeaves(m, j, n); !could {
+			return
+		}
+	} else {
+		j.Why = whyGang
+	}
+	attempt := uint32(0)
+	for i := range j.Tasks {
+		attempt = max(attempt, j.Tasks[i].Attempt)
+	}
+	k := kindOf(j)
+	if j.FailedOn != nil || !covered(s.full, k, t.need) { // else not even one member finds room
+		if plan := s.planGang(m, t, n); plan != nil {
+			if !allowed { // the machines are there: now its team's less urgent work leaves
+				for _, st := range plan {
+					st.claim = st.claim.Plus(t.need)
+				}
+				s.makeTeamRoom(j, n, leave, now, do)
+				return
+			}
+			for _, st := range plan {
+				s.put(m, j, st, j.NextWaiting(), attempt+1, s.score(locality(m, j, st.mc), load(m, st.mc)), do)
+			}
+			return
+		}
+		if len(t.cands) == 0 && !t.limited && j.FailedOn == nil {
+			s.full = append(s.full, shape{k, t.need})
+		}
+	}
+	found := false
+	if n == 1 {
+		found = s.makeRoom(m, t, now, do)
+	} else {
+		found = s.makeGangRoom(m, t, n, now, do)
+	}
+	if found && !allowed {
+		s.makeTeamRoom(j, n, leave, now, do)
+	}
+}
+
+// planGang finds a machine for every member, or nil. Each zone is tried by
+// itself when the job must stay in one.
+func (s *Sched) planGang(m *model.Model, t *turn, n int) []*seat {
+	s.build(m, t)
+	if !t.j.Spec.SameZone {
+		plan, _ := s.planIn(m, t, n, -1)
+		return plan
+	}
+	var best []*seat
+	var bestSum float64
+	tried := map[int32]bool{}
+	for i := range t.cands {
+		z := t.cands[i].st.mc.Zone
+		if tried[z] {
+			continue
+		}
+		tried[z] = true
+		if plan, sum := s.planIn(m, t, n, z); plan != nil && (best == nil || sum < bestSum) {
+			best, bestSum = plan, sum
+		}
+	}
+	return best
+}
+
+// planIn finds room for n members in a zone, or in all (-1), and the sum of the
+// scores.
+func (s *Sched) planIn(m *model.Model, t *turn, n int, zone int32) (plan []*seat, sum float64) {
+	need := t.need
+	limit := len(t.j.Tasks)
+	if t.j.Spec.Spread {
+		limit = (len(t.j.Tasks) + 1) / 2
+	}
+	perZone := map[int32]int{}
+	order := slices.Clone(t.cands)
+	slices.SortFunc(order, func(a, b cand) int {
+		if c := cmp.Compare(a.score, b.score); c != 0 {
+			return c
+		}
+		return cmp.Compare(a.at, b.at)
+	})
+	// A member's place does not change the score of the next one: the gang is
+	// placed in one round, as the round began.
+	for i := range order {
+		c := &order[i]
+		if zone >= 0 && c.st.mc.Zone != zone {
+			continue
+		}
+		for k := 1.0; len(plan) < n && perZone[c.st.mc.Zone] < limit; k++ {
+			s.Looked++
+			if !s.hasRoom(m, t.j, c.st, Room{need.CPUs * k, need.GPUs * k, need.Mem * k}) {
+				break
+			}
+			perZone[c.st.mc.Zone]++
+			plan = append(plan, c.st)
+			sum += c.score
+		}
+		if len(plan) == n {
+			return plan, sum
+		}
+	}
+	return nil, 0
+}
+
+// makeGangRoom keeps room for all members of a gang, in one zone if it must be:
+// where stopping others does the least harm. If there is not enough anywhere,
+// the first gang in the queue keeps what it finds in the best zone: without
+// that, gangs of several machines would wait for as long as smaller ones come. It
+// tells whether there will be room for all.
+func (s *Sched) makeGangRoom(m *model.Model, t *turn, n int, now model.Time, do Doer) bool {
+	j := t.j
+	if j.Spec.Spread || j.Faulty {
+		return false
+	}
+	zones := map[int32][]option{} // room for one more member each; runs are those of the earlier ones there too
+	could := map[int32]int{}      // members that find room when other gangs end
+	for i := range s.seats {
+		st := &s.seats[i]
+		if !s.suits(m, j, st, t.need) || !s.serviceMay(j, st) {
+			continue
+		}
+		zone := st.mc.Zone
+		if !j.Spec.SameZone {
+			zone = -1
+		}
+		for r := st.total.Minus(Firm(st.mc)); could[zone] < n && r.Holds(t.need); r = r.Minus(t.need) {
+			could[zone]++
+		}
+		before := 0.0
+		for k := 1.0; int(k) <= n; k++ {
+			need := Room{t.need.CPUs * k, t.need.GPUs * k, t.need.Mem * k}
+			if !st.total.Minus(Firm(st.mc)).Minus(st.claim).Holds(need) {
+				break
+			}
+			runs, cost, ok := s.victims(j, st, need, model.Production, now)
+			if !ok {
+				break
+			}
+			zones[zone] = append(zones[zone], option{st, cost - before, runs, i})
+			before = cost
+		}
+	}
+	var best []option
+	bestCost := 0.0
+	for zone, list := range zones {
+		if could[zone] < n {
+			continue
+		}
+		sort.Stable(options(list))
+		list = list[:min(n, len(list))]
+		cost := 0.0
+		for _, o := range list {
+			cost += o.cost
+		}
+		if len(list) > len(best) || len(list) == len(best) && (cost < bestCost || cost == bestCost && list[0].at < best[0].at) {
+			best, bestCost = list, cost
+		}
+	}
+	whole := len(best) == n
+	if !whole {
+		if s.held {
+			return false
+		}
+		s.held = true
+	}
+	patient := now-j.Began < s.patience(j)
+	for _, o := range best {
+		o.st.claim = o.st.claim.Plus(t.need)
+		if whole && !patient { // nothing is stopped for a part of a gang
+			for _, r := range o.runs {
+				do.Stop(r, false, "room for "+j.Spec.ID)
+			}
+			o.st.left = false
+		}
+	}
+	return whole
+}
--- /dev/null
+++ b/internal/sched/queue.go
@@ -0,0 +1,137 @@
+package sched
+
+import (
+	"cmp"
+	"slices"
+
+	"fieldhill/internal/config"
+	"fieldhill/internal/model"
+)
+
+// This file is the order in which jobs are served.
+
+// patience is how long a job may wait for room before others are stopped for it.
+func (s *Sched) patience(j *model.Job) model.Time {
+	best := 30.0
+	if within, ok := s.startWithin(j); ok {
+		best = min(best, within)
+	}
+	for _, o := range s.P.Objectives {
+		if o.Kind == "guarantee" && j.Guaranteed {
+			best = min(best, o.WithinS)
+		}
+	}
+	if j.Priority == model.Production {
+		return config.Seconds(best * 0.05)
+	}
+	return config.Seconds(best * 0.15)
+}
+
+// Guarantees marks the jobs that fit, with their team's earlier unfinished
+// jobs, into what the team is guaranteed.
+func Guarantees(m *model.Model, jobs []*model.Job) {
+	sum := make([]Room, len(m.Teams))
+	for _, j := range jobs {
+		t := j.Team
+		if t == nil || j.Cancelled {
+			continue
+		}
+		n := float64(len(j.Tasks) - j.Done)
+		r := &sum[t.Index]
+		r.CPUs, r.GPUs = r.CPUs+j.Spec.CPUs*n, r.GPUs+j.Spec.GPUs*n
+		j.Guaranteed = (t.CPUs > 0 || j.Spec.CPUs == 0 || j.Spec.GPUs > 0) && (t.CPUs == 0 || r.CPUs <= t.CPUs+1e-6) && r.GPUs <= t.GPUs+1e-6 &&
+			(t.GPUs > 0 || j.Spec.GPUs == 0)
+	}
+}
+
+// tier orders jobs: replicas of production services first, then work within a
+// guarantee, then the rest; inside each by priority.
+func tier(j *model.Job) int {
+	t := int(j.Priority)
+	if j.Guaranteed && j.Priority < model.Production {
+		t += int(model.Production)
+	} else if j.Priority == model.Production {
+		t += 2 * int(model.Production)
+	}
+	return t
+}
+
+// shortFirst tells whether a job stands in the queue of low arrays, which is
+// served shortest first instead of by turns: when there is more work than room,
+// turns make every job late, and this way most are in time.
+func shortFirst(j *model.Job) bool {
+	return j.Kind == model.Array && j.Priority == model.Low && !j.Guaranteed
+}
+
+// remaining is the work of a job that is left, in CPU seconds as expected.
+func remaining(m *model.Model, j *model.Job) float64 {
+	return float64(len(j.Tasks)-j.Done) * max(1, m.Takes(j)) * max(0.01, j.Spec.CPUs)
+}
+
+// hopeless tells whether a job is past the last time that an objective sets it.
+func (s *Sched) hopeless(j *model.Job, now model.Time) bool {
+	last := -1.0
+	for _, o := range s.P.Objectives {
+		switch {
+		case o.Class != j.Spec.Class:
+		case o.Kind == "finished":
+			last = max(last, o.WithinS)
+		case o.Kind == "deadline" && j.Spec.DeadlineS != nil:
+			last = max(last, *j.Spec.DeadlineS*max(1, o.Times))
+		}
+	}
+	return last >= 0 && (now-j.Began).Seconds() > last
+}
+
+// queued is a job that wants room, with what its place in the queue follows from.
+type queued struct {
+	j        *model.Job
+	tier     int
+	call     call
+	short    bool
+	hopeless bool
+	left     float64 // CPU seconds of work, where the smallest goes first
+}
+
+// queue lists the jobs that want room, in the order in which they are served.
+func (s *Sched) queue(m *model.Model, jobs []*model.Job, now model.Time) []queued {
+	var q []queued
+	for _, j := range jobs {
+		switch {
+		case j.Waiting() == 0:
+			continue
+		case now < j.NotBefore:
+			j.Why = whyPaused
+			continue
+		case j.Faulty && j.Kind != model.Gang && j.Live > 0:
+			j.Why = whyFaulty
+			continue
+		}
+		e := queued{j: j, tier: tier(j), short: shortFirst(j)}
+		e.call, e.left = s.callOf(m, j, now)
+		if e.short {
+			e.hopeless, e.left = s.hopeless(j, now), remaining(m, j)
+		}
+		q = append(q, e)
+	}
+	slices.SortStableFunc(q, func(a, b queued) int {
+		switch {
+		case a.tier != b.tier:
+			return cmp.Compare(b.tier, a.tier)
+		case a.call != b.call:
+			return cmp.Compare(a.call, b.call)
+		case a.hopeless != b.hopeless:
+			if a.hopeless {
+				return 1
+			}
+			return -1
+		}
+		return cmp.Compare(a.left, b.left)
+	})
+	return q
+}
+
+// startWithin is how soon a job's tasks are to start by the objectives.
+func (s *Sched) startWithin(j *model.Job) (float64, bool) {
+	return config.StartWithin(s.P.Objectives, j.Spec.Class)
+}
