Tell every reason why a job waits, and check which ones bind

Need: a job carried one string, set where the scheduler gave up last; lifting that cause often changes nothing, and two at once could not be told.

internal/why has stable codes with figures, which the scheduler reports while it decides; the log uses them. internal/explain finds all reasons that hold for a job and plays the next round of the real scheduler on a copy of the model with each one lifted: it binds if the round then does more.

TestEachCause builds 21 causes one at a time: each is found, binds, and lifting all starts the job; explaining leaves the model as it was. TestTwoCausesAtOnce, TestCloneIsWhole, TestRoundsAreBounded; TestWhyAJobWaits asks whole controllers, without a leader too.

--- a/cmd/fieldhill/client.go
+++ b/cmd/fieldhill/client.go
@@ -199,3 +199,58 @@
 	fmt.Println("ready")
 	return nil
 }
+
+type whyCmd struct {
+	about
+	WhatIf bool `help:"Show for each reason what the next round would do without it."`
+}
+
+func (c *whyCmd) Run() error {
+	var e wire.Explanation
+	if err := c.call(http.MethodGet, wire.PathJobs+"/"+c.ID+wire.WhySuffix, nil, &e); err != nil {
+		return err
+	}
+	explained(os.Stdout, &e, c.WhatIf)
+	return nil
+}
+
+// explained prints why a job waits, the reasons that bind first.
+func explained(w io.Writer, e *wire.Explanation, whatIf bool) {
+	fmt.Fprintf(w, "%s %s, %d tasks wait", e.ID, e.State, e.Waiting)
+	if e.Starting > 0 {
+		fmt.Fprintf(w, ", %d are starting", e.Starting)
+	}
+	fmt.Fprintln(w)
+	if e.Waiting > 0 {
+		fmt.Fprintf(w, "The next round places %d of them.\n", e.Places)
+	}
+	line := func(mark string, r *wire.Reason) {
+		fmt.Fprintf(w, "%s %-13s %s\n", mark, r.Code, r.Text)
+		if whatIf && (r.Binds || r.Gains > 0 || r.Stops > 0) {
+			fmt.Fprintf(w, "  %-13s without it the next round places %d and stops %d tasks of others\n", "", r.Gains, r.Stops)
+		}
+	}
+	binds := false
+	for i := range e.Reasons {
+		if r := &e.Reasons[i]; r.Binds {
+			binds = true
+			line("*", r)
+		}
+	}
+	for i := range e.Reasons {
+		if r := &e.Reasons[i]; !r.Binds {
+			line(" ", r)
+		}
+	}
+	if binds {
+		fmt.Fprintln(w, "Lifting any one of those with * would help.")
+	} else if e.Waiting > e.Places && len(e.Reasons) > 0 {
+		fmt.Fprintln(w, "Lifting none of them alone would help.")
+	}
+	for _, p := range e.Together {
+		fmt.Fprintf(w, "Together, but neither alone: %s and %s.\n", p[0], p[1])
+	}
+	if e.Partial {
+		fmt.Fprintln(w, "Not all pairs were tried.")
+	}
+}
--- a/cmd/fieldhill/main.go
+++ b/cmd/fieldhill/main.go
@@ -27,6 +27,7 @@
 	Submit submitCmd `cmd:"" help:"Submit a job to a controller."`
 	Status statusCmd `cmd:"" help:"Ask a controller how a job is."`
 	Cancel cancelCmd `cmd:"" help:"Cancel a job."`
+	Why    whyCmd    `cmd:"" help:"Ask why a job waits, and which reason binds."`
 	Ready  readyCmd  `cmd:"" help:"Ask whether a controller takes requests."`
 
 	Version versionCmd `cmd:"" help:"Print the version."`
@@ -40,6 +41,7 @@
 	WaitRounds int           `env:"FIELDHILL_WAIT_ROUNDS" default:"2" help:"DAD: rounds a task may wait for a busy machine with its image."`
 	Round      time.Duration `env:"FIELDHILL_ROUND" default:"2s" help:"DAD: length of a round."`
 	Metrics    string        `env:"FIELDHILL_METRICS" placeholder:"HOST:PORT" help:"Where to serve a read-only page of counters and latencies (/metrics); none by default."`
+	Explain    bool          `env:"FIELDHILL_EXPLAIN" help:"Answer why jobs wait (fieldhill why)."`
 }
 
 func (s *serveCmd) Validate() error {
@@ -87,7 +89,7 @@
 		runtime.GOMAXPROCS(1) // threads beyond the share only cost switches
 	}
 	return controller.New(host.Real{}, set, controller.Options{
-		Beta: s.Beta, Threshold: s.Threshold, WaitRounds: s.WaitRounds, Round: s.Round, Metrics: s.Metrics,
+		Beta: s.Beta, Threshold: s.Threshold, WaitRounds: s.WaitRounds, Round: s.Round, Metrics: s.Metrics, Explain: s.Explain,
 	}, logger).Run(context.Background())
 }
 
--- a/cmd/trio/main.go
+++ b/cmd/trio/main.go
@@ -136,7 +136,7 @@
 	}
 	defer log.Close()
 	for {
-		cmd := exec.CommandContext(ctx, c.Program, "--config", path, "--metrics", metrics)
+		cmd := exec.CommandContext(ctx, c.Program, "--config", path, "--metrics", metrics, "--explain")
 		cmd.Stderr = log
 		// Ctrl-C is for this program, which ends the controllers itself.
 		cmd.SysProcAttr = &syscall.SysProcAttr{Setpgid: true}
--- a/internal/controller/house.go
+++ b/internal/controller/house.go
@@ -1,7 +1,6 @@
 package controller
 
 import (
-	"cmp"
 	"context"
 	"errors"
 	"net/http"
@@ -14,6 +13,7 @@
 	"fieldhill/internal/model"
 	"fieldhill/internal/mphttp"
 	"fieldhill/internal/oplog"
+	"fieldhill/internal/why"
 	"fieldhill/wire"
 )
 
@@ -232,7 +232,7 @@
 
 // sayWaiting logs how many tasks wait, by class and by reason, and which jobs do for long.
 func (n *Node) sayWaiting(r *role) {
-	classes, reasons, said := map[string]int{}, map[string]int{}, map[model.JobID]string{}
+	classes, reasons, said := map[string]int{}, map[string]int{}, map[model.JobID]why.Code{}
 	var long []*model.Job
 	for _, j := range n.m.JobsInOrder() {
 		k := j.Waiting()
@@ -240,16 +240,16 @@
 			continue
 		}
 		classes[j.Spec.Class] += k
-		reasons[cmp.Or(j.Why, "not looked at yet")] += k
-		if j.Why != "" && r.said[j.ID] == j.Why {
-			said[j.ID] = j.Why
-		} else if j.Why != "" && n.now()-j.Began > waitsLong && len(long) < mostLines {
+		reasons[j.Why.Code.String()] += k
+		if j.Why.Is() && r.said[j.ID] == j.Why.Code {
+			said[j.ID] = j.Why.Code
+		} else if j.Why.Is() && n.now()-j.Began > waitsLong && len(long) < mostLines {
 			long = append(long, j)
 		}
 	}
 	for _, j := range long {
-		said[j.ID] = j.Why
-		n.log.Info("job waits", "job", j.Spec.ID, "class", j.Spec.Class, "team", j.Spec.Team, "tasks", j.Waiting(), "why", j.Why)
+		said[j.ID] = j.Why.Code
+		n.log.Info("job waits", "job", j.Spec.ID, "class", j.Spec.Class, "team", j.Spec.Team, "tasks", j.Waiting(), "why", j.Why.Code, "says", j.Why)
 	}
 	r.said = said
 	n.log.Info("work", "jobs", len(n.m.Jobs), "waiting", classes, "why", reasons)
--- a/internal/controller/node.go
+++ b/internal/controller/node.go
@@ -34,6 +34,7 @@
 	"fieldhill/internal/sched"
 	"fieldhill/internal/statesvc"
 	"fieldhill/internal/stats"
+	"fieldhill/internal/why"
 	"fieldhill/internal/worker"
 )
 
@@ -44,6 +45,7 @@
 	WaitRounds int
 	Round      time.Duration
 	Metrics    string // address of the operators' page; "": none
+	Explain    bool   // tell why jobs wait
 }
 
 // termBits is how many low bits of a token are a machine's own.
@@ -83,6 +85,9 @@
 	lastRound time.Time
 	gap       time.Duration // between rounds that events wake
 
+	explaining atomic.Bool // only who has set it
+	explained  model.Time  // reads and writes this: when last
+
 	readyFlag atomic.Bool
 	usual     atomic.Int64 // how long the leader takes to answer a submission, averaged
 	beat      atomic.Int64 // when the loop was last seen to run
@@ -115,7 +120,7 @@
 	lastTypes   time.Time
 	lastSummary time.Time
 	lastLate    time.Time
-	said        map[model.JobID]string // why jobs wait, as logged
+	said        map[model.JobID]why.Code // why jobs wait, as logged
 	listing     bool
 	cloudDown   bool // it did not list the machines when last asked
 	lastList    time.Time
--- a/internal/controller/users.go
+++ b/internal/controller/users.go
@@ -137,6 +137,12 @@
 			return n.statusFromLog(ctx, model.JobID(num))
 		}
 		return n.statusHere(ctx, c.ID)
+	case peer.OpWhy:
+		num, ok := wire.JobNumber(c.ID)
+		if leads, _ := n.standing(); !ok || !leads || !n.opt.Explain {
+			return noLeader
+		}
+		return n.whyHere(ctx, model.JobID(num))
 	case peer.OpCancel:
 		return n.cancelHere(ctx, c.ID)
 	}
--- a/internal/controller/world_test.go
+++ b/internal/controller/world_test.go
@@ -89,7 +89,7 @@
 	}
 	return func(ctx context.Context, h host.Net, s *config.Settings) error {
 		log := slog.New(slog.NewTextHandler(out, &slog.HandlerOptions{Level: level})).With("node", s.Node)
-		n := New(h, s, Options{Beta: 0.8, Threshold: 0.5, WaitRounds: 2, Round: 2 * time.Second, Metrics: metricsOf(s.Node)}, log)
+		n := New(h, s, Options{Beta: 0.8, Threshold: 0.5, WaitRounds: 2, Round: 2 * time.Second, Metrics: metricsOf(s.Node), Explain: true}, log)
 		n.ctx = ctx
 		if compactEvery > 0 {
 			n.snapEvery = compactEvery
--- /dev/null
+++ b/internal/explain/bench_test.go
@@ -0,0 +1,42 @@
+package explain
+
+import (
+	"testing"
+
+	"fieldhill/internal/model"
+	"fieldhill/wire"
+)
+
+// BenchmarkClone copies a model of 1,000 machines with eight runs each, as for one answer.
+func BenchmarkClone(b *testing.B) {
+	w := large(b)
+	for b.Loop() {
+		w.m.Clone()
+	}
+}
+
+// BenchmarkExplain accounts for a job that waits in it.
+func BenchmarkExplain(b *testing.B) {
+	w := large(b)
+	j := w.job(5000, nil)
+	for b.Loop() {
+		if a := w.explain(j); a.Waiting != 1 {
+			b.Fatal(a)
+		}
+	}
+}
+
+func large(t testing.TB) *world {
+	w := newWorld(t)
+	for i := range 1000 {
+		mc := w.machine([]string{"small", "large"}[i%2], []string{"a", "b"}[i/2%2])
+		j := w.job(uint64(i+1), func(s *wire.JobSpec) {
+			s.Team, s.Types, s.Tasks, s.CPUs, s.MemoryGB, s.Priority = "blue", nil, 8, 0.5, 1, wire.Production
+		})
+		for k := range int32(8) {
+			w.place(j, k, mc)
+			mc.Runs[k].Phase = model.Running
+		}
+	}
+	return w
+}
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -104,6 +104,21 @@
 	f.refused[o] = r
 }
 
+// RefusedTo tells how many offers that suit a job the cloud has refused lately, and in how long
+// the first of them is asked for again.
+func (f *Fleet) RefusedTo(m *model.Model, j *model.Job, now model.Time) (n int, in model.Time) {
+	for o, r := range f.refused {
+		t := &m.Types[o.Type]
+		if r.until <= now || !j.Allowed(o.Type, o.Zone, o.Spot) || !(sched.Room{CPUs: t.CPUs, GPUs: t.GPUs, Mem: t.MemoryGB}).Holds(sched.Need(j)) {
+			continue
+		}
+		if n++; n == 1 || r.until-now < in {
+			in = r.until - now
+		}
+	}
+	return n, in
+}
+
 // Filled notes that the cloud had some.
 func (f *Fleet) Filled(o Offer) { delete(f.refused, o) }
 
--- a/internal/intern/intern.go
+++ b/internal/intern/intern.go
@@ -2,6 +2,11 @@
 // door works with small integers.
 package intern
 
+import (
+	"maps"
+	"slices"
+)
+
 // Table gives each name an index, counted from 0 in order of first sight.
 type Table struct {
 	ids   map[string]int32
@@ -33,3 +38,6 @@
 
 // Len tells how many names there are.
 func (t *Table) Len() int { return len(t.names) }
+
+// Clone copies a table.
+func (t *Table) Clone() Table { return Table{maps.Clone(t.ids), slices.Clone(t.names)} }
--- a/internal/model/model.go
+++ b/internal/model/model.go
@@ -23,6 +23,7 @@
 
 	"fieldhill/internal/config"
 	"fieldhill/internal/intern"
+	"fieldhill/internal/why"
 	"fieldhill/wire"
 )
 
@@ -122,8 +123,8 @@
 	over      bool // it is settled
 
 	// What the leader keeps for scheduling.
-	Waited     int    // rounds spent waiting for a busy machine with the image
-	Why        string // what was in the way of its next task when last looked at; "": nothing
+	Waited     int        // rounds spent waiting for a busy machine with the image
+	Why        why.Reason // what was in the way of its next task when last looked at
 	NotBefore  Time
 	LocalSince Time // when room was last begun to be made where its image is; 0: never
 	Errors     int
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -41,6 +41,7 @@
 	OpSubmit
 	OpStatus
 	OpCancel
+	OpWhy // a node that does not know it answers 501
 )
 
 // Call is a request to another controller.
--- a/internal/sched/gang.go
+++ b/internal/sched/gang.go
@@ -6,6 +6,7 @@
 	"sort"
 
 	"fieldhill/internal/model"
+	"fieldhill/internal/why"
 )
 
 // This file places gangs, all members or none.
@@ -15,7 +16,7 @@
 func (s *Sched) gang(m *model.Model, t *turn, now model.Time, do Doer) {
 	j := t.j
 	if j.Live > 0 {
-		j.Why = whyEnding
+		j.Why = why.Reason{Code: why.Ending, N: j.Live}
 		for i := range j.Tasks {
 			if r := j.Tasks[i].Run; r != nil && !r.Stop {
 				do.Stop(r, false, "the gang lost a member")
@@ -27,13 +28,13 @@
 	var leave teamLeave
 	allowed := s.teamAllows(j, n)
 	if !allowed {
-		j.Why = whyTeam
+		j.Why = s.TeamReason(j, n)
 		could := false
 		if leave, could = s.teamLeaves(m, j, n); !could {
 			return
 		}
 	} else {
-		j.Why = whyGang
+		j.Why = why.Reason{Code: why.Gang, N: n}
 	}
 	attempt := uint32(0)
 	for i := range j.Tasks {
--- a/internal/sched/placing.go
+++ b/internal/sched/placing.go
@@ -5,6 +5,7 @@
 
 	"fieldhill/internal/config"
 	"fieldhill/internal/model"
+	"fieldhill/internal/why"
 )
 
 // This file places the tasks of arrays and services, by turns.
@@ -126,20 +127,20 @@
 	}
 	if s.LowMost > 0 && j.Priority == model.Low {
 		if s.low >= s.LowMost {
-			s.LowLeft, j.Why = true, whyPaced
+			s.LowLeft, j.Why = true, why.Reason{Code: why.Paced, N: s.LowMost}
 			return false
 		}
 		s.low++
 	}
 	if !s.teamAllows(j, 1) {
-		j.Why = whyTeam
+		j.Why = s.TeamReason(j, 1)
 		if leave, could := s.teamLeaves(m, j, 1); could {
 			s.makeTeamRoom(j, 1, leave, now, do)
 		}
 		return false
 	}
 	k := kindOf(j)
-	j.Why = whyRoom
+	j.Why = why.Reason{Code: why.Full, Of: "CPUs", Need: t.need.CPUs}
 	if j.FailedOn == nil && !t.built && covered(s.full, k, t.need) {
 		s.makeRoom(m, t, now, do)
 		return false
@@ -156,11 +157,11 @@
 		if tick {
 			j.Waited++
 		}
-		j.Why = whyImage
+		j.Why = why.Reason{Code: why.Image, N: s.P.WaitRounds - j.Waited}
 		return false
 	}
 	if best.loc*s.P.Beta >= s.P.Threshold && s.localRoom(m, t, best, now, do) {
-		j.Why = whyMade
+		j.Why = why.Reason{Code: why.Making}
 		return false
 	}
 	s.put(m, j, best.st, task, j.Tasks[task].Attempt+1, best.score, do)
@@ -215,7 +216,7 @@
 }
 
 func (s *Sched) put(m *model.Model, j *model.Job, st *seat, task int32, attempt uint32, score float64, do Doer) {
-	j.Why = ""
+	j.Why = why.Reason{}
 	do.Place(j, task, attempt, st.mc, score)
 	if st.total.GPUs > 0 && j.Kind == model.Service && s.ForServices[st.mc] > 0 {
 		s.ForServices[st.mc]--
--- a/internal/sched/queue.go
+++ b/internal/sched/queue.go
@@ -6,6 +6,7 @@
 
 	"fieldhill/internal/config"
 	"fieldhill/internal/model"
+	"fieldhill/internal/why"
 )
 
 // This file is the order in which jobs are served.
@@ -98,13 +99,13 @@
 	var q []queued
 	for _, j := range jobs {
 		switch {
-		case j.Waiting() == 0:
+		case j.Waiting() == 0, s.Only != nil && j != s.Only:
 			continue
 		case now < j.NotBefore:
-			j.Why = whyPaused
+			j.Why = why.Reason{Code: why.Paused, N: j.Errors, In: j.NotBefore - now}
 			continue
 		case j.Faulty && j.Kind != model.Gang && j.Live > 0:
-			j.Why = whyFaulty
+			j.Why = why.Reason{Code: why.Faulty, N: j.Errors}
 			continue
 		}
 		e := queued{j: j, tier: tier(j), short: shortFirst(j)}
@@ -135,3 +136,16 @@
 func (s *Sched) startWithin(j *model.Job) (float64, bool) {
 	return config.StartWithin(s.P.Objectives, j.Spec.Class)
 }
+
+// Ahead lists the jobs that are served before a waiting job, in their order.
+func (s *Sched) Ahead(m *model.Model, j *model.Job, now model.Time) (ahead []*model.Job) {
+	jobs := m.JobsInOrder()
+	Guarantees(m, jobs)
+	for _, q := range s.queue(m, jobs, now) {
+		if q.j == j {
+			return ahead
+		}
+		ahead = append(ahead, q.j)
+	}
+	return nil // it is not in the queue
+}
--- a/internal/sched/room.go
+++ b/internal/sched/room.go
@@ -2,6 +2,7 @@
 
 import (
 	"fieldhill/internal/model"
+	"fieldhill/internal/why"
 )
 
 // This file is what fits where: rooms, limits, and what is left to others.
@@ -148,3 +149,25 @@
 	return (t.CPUsMax == 0 || o.CPUs == 0 || t.UsedCPUs+o.CPUs+c.CPUs*float64(n) <= t.CPUsMax+1e-6) &&
 		(t.GPUsMax == 0 || o.GPUs == 0 || t.UsedGPUs+o.GPUs+c.GPUs*float64(n) <= t.GPUsMax+1e-6)
 }
+
+// TeamReason tells how n more tasks of a job stand against their team's limit.
+func (s *Sched) TeamReason(j *model.Job, n int) why.Reason {
+	t, o := j.Team, Room{}
+	if t == nil {
+		return why.Reason{Code: why.Team}
+	}
+	if t.Index < len(s.owed) {
+		o = s.owed[t.Index]
+	}
+	r := why.Reason{Code: why.Team, Of: "CPUs", Need: j.Spec.CPUs * float64(n), Used: t.UsedCPUs + o.CPUs, Limit: t.CPUsMax}
+	if g := j.Spec.GPUs * float64(n); t.GPUsMax > 0 && t.UsedGPUs+o.GPUs+g > t.GPUsMax+1e-6 {
+		r.Of, r.Need, r.Used, r.Limit = "GPUs", g, t.UsedGPUs+o.GPUs, t.GPUsMax
+	}
+	return r
+}
+
+// ServiceMayUse tells whether a service may go to a machine as far as work that uses GPUs is
+// concerned; everything else may.
+func (s *Sched) ServiceMayUse(m *model.Model, j *model.Job, mc *model.Machine) bool {
+	return s.serviceMay(j, &seat{mc: mc, total: Total(m, mc)})
+}
--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -9,6 +9,8 @@
 package sched
 
 import (
+	"maps"
+
 	"fieldhill/internal/config"
 	"fieldhill/internal/model"
 )
@@ -27,20 +29,6 @@
 	Stop(r *model.Run, hard bool, why string)
 }
 
-// Why a job waits, for its operator: what was in the way of its next task, or of a
-// gang, when it was last looked at.
-const (
-	whyPaused = "paused after failures"
-	whyFaulty = "fails on every machine, one task at a time is tried"
-	whyTeam   = "its team's limit"
-	whyRoom   = "no room on machines that suit it"
-	whyGang   = "no room for all members at once"
-	whyEnding = "its last attempt is ending"
-	whyImage  = "waits for a busy machine with its image"
-	whyMade   = "room is being made where its image is"
-	whyPaced  = "low work is paced"
-)
-
 // Sched keeps what lasts from round to round.
 type Sched struct {
 	P Params
@@ -59,6 +47,9 @@
 	LowMost int
 	LowLeft bool
 
+	// Only is the one job that is served, nil: all. It is for rounds on copies.
+	Only *model.Job
+
 	// Vacate is a machine whose replicas are to move, or nil.
 	Vacate  *model.Machine
 	moved   model.Time
@@ -173,3 +164,25 @@
 	}
 	return st.leave
 }
+
+// Dry is a scheduler for a round on a copy of a model, whose machines it finds by number: it
+// decides what this one would, and changes nothing of it.
+func (s *Sched) Dry(m *model.Model) *Sched {
+	d := New(s.P)
+	d.Headroom, d.LowMost, d.moved, d.placeAt = s.Headroom, s.LowMost, s.moved, s.placeAt
+	d.gpuWork = maps.Clone(s.gpuWork)
+	d.ForServices, d.LowMay = map[*model.Machine]int{}, map[*model.Machine]bool{}
+	for mc, k := range s.ForServices {
+		d.ForServices[m.Machines[mc.ID]] = k
+	}
+	for mc, may := range s.LowMay {
+		d.LowMay[m.Machines[mc.ID]] = may
+	}
+	for mc, k := range s.kept {
+		d.kept[m.Machines[mc.ID]] = k
+	}
+	if s.Vacate != nil {
+		d.Vacate = m.Machines[s.Vacate.ID]
+	}
+	return d
+}
