Answer operators on an address of their own: why a job waits and since when, the queue

Need: night staff ask any controller, with tools; the users' interface is the platform's.

A job keeps its last eight reasons with their times; a team's limit names the jobs that use it. Misspelt filters are refused by name.

Tried with cmd/trio.

--- a/cmd/fieldhill/main.go
+++ b/cmd/fieldhill/main.go
@@ -6,6 +6,7 @@
 	"context"
 	"fmt"
 	"log/slog"
+	"net"
 	"net/netip"
 	"os"
 	"runtime"
@@ -28,6 +29,7 @@
 	Status statusCmd `cmd:"" help:"Ask a controller how a job is."`
 	Cancel cancelCmd `cmd:"" help:"Cancel a job."`
 	Why    whyCmd    `cmd:"" help:"Ask why a job waits, and which reason binds."`
+	Queue  queueCmd  `cmd:"" help:"List the jobs that wait, in the order in which they are served."`
 	Ready  readyCmd  `cmd:"" help:"Ask whether a controller takes requests."`
 
 	Version versionCmd `cmd:"" help:"Print the version."`
@@ -41,7 +43,7 @@
 	WaitRounds int           `env:"FIELDHILL_WAIT_ROUNDS" default:"2" help:"DAD: rounds a task may wait for a busy machine with its image."`
 	Round      time.Duration `env:"FIELDHILL_ROUND" default:"2s" help:"DAD: length of a round."`
 	Metrics    string        `env:"FIELDHILL_METRICS" placeholder:"HOST:PORT" help:"Where to serve a read-only page of counters and latencies (/metrics); none by default."`
-	Explain    bool          `env:"FIELDHILL_EXPLAIN" help:"Answer why jobs wait (fieldhill why)."`
+	Operate    string        `env:"FIELDHILL_OPERATE" placeholder:"HOST:PORT" help:"Where to answer operators (fieldhill why, queue), or :PORT beside the users; nowhere by default."`
 }
 
 func (s *serveCmd) Validate() error {
@@ -55,15 +57,23 @@
 	case s.Round < 50*time.Millisecond || s.Round > time.Minute:
 		return fmt.Errorf("round must be from 50ms to 1m")
 	}
-	if s.Metrics != "" {
-		if _, err := netip.ParseAddrPort(s.Metrics); err != nil {
-			return fmt.Errorf("metrics: %q is not an address with a port", s.Metrics)
+	for _, a := range []struct{ name, at string }{{"metrics", s.Metrics}, {"operate", here(s.Operate, "0.0.0.0:0")}} {
+		if _, err := netip.ParseAddrPort(a.at); a.at != "" && err != nil {
+			return fmt.Errorf("%s: %q is not an address with a port", a.name, a.at)
 		}
 	}
 	_, err := level(s.LogLevel)
 	return err
 }
 
+// here puts the host of another address before an address that is only a port.
+func here(at, other string) string {
+	if host, _, err := net.SplitHostPort(other); err == nil && strings.HasPrefix(at, ":") {
+		return host + at
+	}
+	return at
+}
+
 func level(s string) (slog.Level, error) {
 	switch strings.ToLower(s) {
 	case "error":
@@ -89,7 +99,7 @@
 		runtime.GOMAXPROCS(1) // threads beyond the share only cost switches
 	}
 	return controller.New(host.Real{}, set, controller.Options{
-		Beta: s.Beta, Threshold: s.Threshold, WaitRounds: s.WaitRounds, Round: s.Round, Metrics: s.Metrics, Explain: s.Explain,
+		Beta: s.Beta, Threshold: s.Threshold, WaitRounds: s.WaitRounds, Round: s.Round, Metrics: s.Metrics, Operate: here(s.Operate, set.Bind),
 	}, logger).Run(context.Background())
 }
 
--- a/cmd/trio/main.go
+++ b/cmd/trio/main.go
@@ -72,14 +72,14 @@
 		Peers:  func(i int) string { return at(21 + i) },
 		Worker: func(i int) string { return at(100 + i) },
 	}
-	metrics := map[string]string{}
+	metrics, operate := map[string]string{}, map[string]string{}
 	for i := range nodes {
-		metrics[standin.NodeName(i)] = at(31 + i)
+		metrics[standin.NodeName(i)], operate[standin.NodeName(i)] = at(31+i), at(41+i)
 	}
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	start := func(ctx context.Context, _ host.Net, s *config.Settings) error {
-		if err := c.keep(ctx, s, metrics[s.Node]); err != nil {
+		if err := c.keep(ctx, s, metrics[s.Node], operate[s.Node]); err != nil {
 			cancel(err)
 		}
 		return nil
@@ -121,7 +121,7 @@
 }
 
 // keep runs a controller as a process, and again whenever it ends.
-func (c *cli) keep(ctx context.Context, s *config.Settings, metrics string) error {
+func (c *cli) keep(ctx context.Context, s *config.Settings, metrics, operate string) error {
 	b, err := toml.Marshal(s)
 	if err != nil {
 		return err
@@ -136,14 +136,14 @@
 	}
 	defer log.Close()
 	for {
-		cmd := exec.CommandContext(ctx, c.Program, "--config", path, "--metrics", metrics, "--explain")
+		cmd := exec.CommandContext(ctx, c.Program, "--config", path, "--metrics", metrics, "--operate", operate)
 		cmd.Stderr = log
 		// Ctrl-C is for this program, which ends the controllers itself.
 		cmd.SysProcAttr = &syscall.SysProcAttr{Setpgid: true}
 		if err := cmd.Start(); err != nil {
 			return err
 		}
-		fmt.Printf("controller %s in zone %s runs as process %d at %s, its counters at http://%s/metrics\n", s.Node, s.Zone, cmd.Process.Pid, s.Bind, metrics)
+		fmt.Printf("controller %s in zone %s runs as process %d at %s, its counters at http://%s/metrics, operators at %s\n", s.Node, s.Zone, cmd.Process.Pid, s.Bind, metrics, operate)
 		err := cmd.Wait()
 		if ctx.Err() != nil {
 			return nil
--- a/internal/api/api.go
+++ b/internal/api/api.go
@@ -25,7 +25,6 @@
 	Submit(ctx context.Context, body []byte) *peer.Reply
 	Status(ctx context.Context, id string) *peer.Reply
 	Cancel(ctx context.Context, id string) *peer.Reply
-	Why(ctx context.Context, id string) *peer.Reply
 	Report(ctx context.Context, r *wire.Report) *peer.Reply
 	Ready() bool
 }
@@ -52,7 +51,7 @@
 }
 
 // Kinds name the requests that Handler tells of.
-var Kinds = []string{"submit", "status", "cancel", "report", "why"}
+var Kinds = []string{"submit", "status", "cancel", "report"}
 
 // Crowd bounds and counts a server's open connections.
 type Crowd struct {
@@ -100,9 +99,6 @@
 	handle("cancel", "POST "+wire.PathJobs+"/{id}"+wire.CancelSuffix, func(w http.ResponseWriter, r *http.Request) *peer.Reply {
 		return s.Cancel(r.Context(), r.PathValue("id"))
 	})
-	handle("why", "GET "+wire.PathJobs+"/{id}"+wire.WhySuffix, func(w http.ResponseWriter, r *http.Request) *peer.Reply {
-		return s.Why(r.Context(), r.PathValue("id"))
-	})
 	mux.HandleFunc("GET "+wire.PathReady, func(w http.ResponseWriter, r *http.Request) {
 		if s.Ready() {
 			w.WriteHeader(http.StatusOK)
--- a/internal/api/api_test.go
+++ b/internal/api/api_test.go
@@ -25,7 +25,6 @@
 func (calm) Submit(context.Context, []byte) *peer.Reply { return &peer.Reply{Status: 201} }
 func (calm) Status(context.Context, string) *peer.Reply { return &peer.Reply{Status: 200} }
 func (calm) Cancel(context.Context, string) *peer.Reply { return &peer.Reply{Status: 200} }
-func (calm) Why(context.Context, string) *peer.Reply    { return &peer.Reply{Status: 200} }
 func (calm) Report(context.Context, *wire.Report) *peer.Reply {
 	return Encode(200, &wire.ReportAnswer{})
 }
--- a/internal/controller/node.go
+++ b/internal/controller/node.go
@@ -29,6 +29,7 @@
 	"fieldhill/internal/host"
 	"fieldhill/internal/lead"
 	"fieldhill/internal/model"
+	"fieldhill/internal/operate"
 	"fieldhill/internal/oplog"
 	"fieldhill/internal/peer"
 	"fieldhill/internal/sched"
@@ -45,7 +46,7 @@
 	WaitRounds int
 	Round      time.Duration
 	Metrics    string // address of the operators' page; "": none
-	Explain    bool   // tell why jobs wait
+	Operate    string // address where operators' questions are answered; "": none
 }
 
 // termBits is how many low bits of a token are a machine's own.
@@ -198,6 +199,12 @@
 			return err
 		}
 	}
+	var oln net.Listener
+	if n.opt.Operate != "" {
+		if oln, err = n.via.Listen(n.opt.Operate); err != nil {
+			return err
+		}
+	}
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	n.ctx = ctx
@@ -223,6 +230,9 @@
 	if mln != nil {
 		duty("metrics", func() error { return api.Serve(ctx, mln, &api.Crowd{Most: metricsConns}, n.stats.Page(n.look), n.log) })
 	}
+	if oln != nil {
+		duty("operate", func() error { return operate.Serve(ctx, oln, n, n.log) })
+	}
 	n.log.Info("started", "node", n.set.Node, "zone", n.set.Zone, "bind", n.set.Bind, "pid", os.Getpid())
 	<-ctx.Done()
 	n.state.Close()
--- a/internal/controller/users.go
+++ b/internal/controller/users.go
@@ -137,12 +137,8 @@
 			return n.statusFromLog(ctx, model.JobID(num))
 		}
 		return n.statusHere(ctx, c.ID)
-	case peer.OpWhy:
-		num, ok := wire.JobNumber(c.ID)
-		if leads, _ := n.standing(); !ok || !leads || !n.opt.Explain {
-			return noLeader
-		}
-		return n.whyHere(ctx, model.JobID(num))
+	case peer.OpWhy, peer.OpQueue:
+		return n.answerOperator(ctx, c)
 	case peer.OpCancel:
 		return n.cancelHere(ctx, c.ID)
 	}
--- a/internal/controller/why.go
+++ b/internal/controller/why.go
@@ -2,111 +2,197 @@
 
 import (
 	"context"
+	"encoding/json"
 	"net/http"
 	"time"
 
-	"fieldhill/internal/api"
 	"fieldhill/internal/explain"
 	"fieldhill/internal/model"
+	"fieldhill/internal/operate"
 	"fieldhill/internal/peer"
 	"fieldhill/internal/why"
 	"fieldhill/wire"
 )
 
-// This file answers why a job waits. The leader copies its model in the loop, and plays rounds
-// on the copy outside of it, one job at a time.
+// This file answers operators: why a job waits, and what the queue is. The leader copies its
+// model in the loop, and plays rounds on the copy outside of it, one job at a time; others pass
+// the question on.
 
 const (
-	explainRounds = 48          // for one answer
+	explainRounds = 24          // for one answer
 	explainEvery  = time.Second // between two answers: they share a processor with everything else
 )
 
+var (
+	opNoLeader = operate.Refuse(http.StatusServiceUnavailable, "no leader at the moment", 1)
+	opUnknown  = operate.Refuse(http.StatusNotFound, "no such job", 0)
+	opTooSoon  = operate.Refuse(http.StatusTooManyRequests, "another question is being answered", 1)
+)
+
 // Why tells why a job waits.
 func (n *Node) Why(ctx context.Context, id string) *peer.Reply {
 	num, ok := wire.JobNumber(id)
-	switch {
-	case !n.opt.Explain:
-		return api.Refuse(http.StatusNotImplemented, "explanations are not switched on (--explain)")
-	case !ok:
-		return api.Refuse(http.StatusNotFound, "no such job")
+	if !ok {
+		return opUnknown
 	}
-	leads, _ := n.standing()
-	if leads {
+	if leads, _ := n.standing(); leads {
 		return n.whyHere(ctx, model.JobID(num))
 	}
-	if r, ok := n.passOn(ctx, &peer.Call{Op: peer.OpWhy, ID: id}, answerWithin); ok {
+	if r, ok := n.passOn(ctx, &peer.Call{Op: peer.OpWhy, ID: id}, answerWithin); ok && r.Status != http.StatusNotImplemented {
+		return r
+	}
+	return n.opInLoop(ctx, func() *peer.Reply { return n.whyWithoutLeader(model.JobID(num)) })
+}
+
+// Queue lists the jobs that wait.
+func (n *Node) Queue(ctx context.Context, f operate.Filter) *peer.Reply {
+	if leads, _ := n.standing(); leads {
+		return n.queueHere(ctx, f)
+	}
+	body, err := json.Marshal(f)
+	if err != nil {
+		return opNoLeader
+	}
+	if r, ok := n.passOn(ctx, &peer.Call{Op: peer.OpQueue, Body: body}, answerWithin); ok && r.Status != http.StatusNotImplemented {
 		return r
 	}
-	return n.inLoop(ctx, func(send func(*peer.Reply)) { send(n.whyWithoutLeader(model.JobID(num))) })
+	return opNoLeader
+}
+
+// answerOperator answers another controller that was asked by an operator.
+func (n *Node) answerOperator(ctx context.Context, c *peer.Call) *peer.Reply {
+	if leads, _ := n.standing(); !leads {
+		return opNoLeader
+	}
+	if c.Op == peer.OpWhy {
+		if num, ok := wire.JobNumber(c.ID); ok {
+			return n.whyHere(ctx, model.JobID(num))
+		}
+		return opUnknown
+	}
+	var f operate.Filter
+	if err := json.Unmarshal(c.Body, &f); err != nil || f.Most < 1 || f.Most > wire.MostQueued {
+		return operate.Refuse(http.StatusBadRequest, "malformed filter", 0)
+	}
+	return n.queueHere(ctx, f)
+}
+
+// opInLoop has the loop answer; an answer that it is too busy for is put into the operators' words.
+func (n *Node) opInLoop(ctx context.Context, f func() *peer.Reply) *peer.Reply {
+	r := n.inLoop(ctx, func(send func(*peer.Reply)) { send(f()) })
+	if r != nil && r.Status == http.StatusServiceUnavailable {
+		return operate.Refuse(http.StatusServiceUnavailable, "this controller is busy, or has no leader", 1)
+	}
+	return r
 }
 
-// whyWithoutLeader answers from the replica, which may be some seconds old: it tells of
-// nothing that the log does not have.
+// whyWithoutLeader answers from the replica, and says how old that is.
 func (n *Node) whyWithoutLeader(id model.JobID) *peer.Reply {
 	j := n.m.Jobs[id]
 	switch {
 	case !n.loaded || j == nil && n.m.Finals[id] == 0:
-		return noLeader // it may be known to others
+		return opNoLeader // others may know it
 	case j == nil:
-		return api.Encode(http.StatusOK, &wire.Explanation{ID: wire.JobID(uint64(id)), State: n.status(id).State})
+		return n.opTold(id, &explain.Account{}, nil)
 	}
-	return api.Encode(http.StatusOK, told(j, n.status(id).State, &explain.Account{Waiting: j.Waiting()}, []why.Reason{{Code: why.NoLeader}}))
+	return n.opTold(id, &explain.Account{Waiting: j.Waiting()}, []why.Reason{{Code: why.NoLeader}})
+}
+
+func (n *Node) opTold(id model.JobID, a *explain.Account, around []why.Reason) *peer.Reply {
+	e := n.header(id)
+	tell(e, n.m.Jobs[id], a, around)
+	return operate.Encode(http.StatusOK, e)
+}
+
+// header begins an explanation; it is for the loop.
+func (n *Node) header(id model.JobID) *wire.Explanation {
+	e := &wire.Explanation{ID: wire.JobID(uint64(id)), Node: n.set.Node, Log: n.applied, Reasons: []wire.Reason{}, Together: [][2]string{}, Past: []wire.Past{}}
+	if s := n.status(id); s != nil {
+		e.State = s.State
+	}
+	if n.role == nil {
+		e.AgeS = time.Since(n.caught).Seconds()
+	}
+	if j := n.m.Jobs[id]; j != nil {
+		for _, p := range j.Past() {
+			e.Past = append(e.Past, wire.Past{Code: p.Code.String(), SinceS: (n.now() - p.From).Seconds()})
+		}
+	}
+	return e
 }
 
 // whyHere answers as the leader.
 func (n *Node) whyHere(ctx context.Context, id model.JobID) *peer.Reply {
 	if !n.explaining.CompareAndSwap(false, true) {
-		return tooSoon
+		return opTooSoon
 	}
 	defer n.explaining.Store(false)
 	if now := n.now(); n.explained != 0 && now-n.explained < explainEvery {
-		return tooSoon
+		return opTooSoon
 	}
 	n.explained = n.now()
 	var sc explain.Scene
 	var around []why.Reason
-	var state string
-	r := n.inLoop(ctx, func(send func(*peer.Reply)) {
+	var e *wire.Explanation
+	r := n.opInLoop(ctx, func() *peer.Reply {
 		j := n.m.Jobs[id]
 		switch {
 		case n.role == nil:
-			send(noLeader)
-			return
+			return opNoLeader
 		case j == nil && n.m.Finals[id] == 0:
-			send(api.Refuse(http.StatusNotFound, "no such job"))
-			return
-		case max(acceptedAt(j), n.m.FinalAt(id)) > n.role.committed:
-			send(api.Later("the log does not have it yet", 1))
-			return
+			return opUnknown
+		case j != nil && j.AcceptSeq > n.role.committed, n.m.FinalAt(id) > n.role.committed:
+			return operate.Refuse(http.StatusServiceUnavailable, "the log does not have it yet", 1)
 		case j == nil:
-			send(api.Encode(http.StatusOK, &wire.Explanation{ID: wire.JobID(uint64(id)), State: n.status(id).State}))
-			return
+			return n.opTold(id, &explain.Account{}, nil)
 		}
-		state, around = n.status(id).State, n.around(j)
+		e, around = n.header(id), n.around(j)
 		m := n.m.Clone()
 		sc = explain.Scene{Model: m, Sched: n.sched.Dry(m), Now: n.now()}
-		send(nil)
+		return nil
 	})
 	if r != nil {
 		return r
 	}
-	a := explain.Explain(sc, id, explainRounds)
-	return api.Encode(http.StatusOK, told(sc.Model.Jobs[id], state, a, around))
+	tell(e, sc.Model.Jobs[id], explain.Explain(sc, id, explainRounds), around)
+	return operate.Encode(http.StatusOK, e)
 }
 
-func acceptedAt(j *model.Job) uint64 {
-	if j == nil {
-		return 0
-	}
-	return j.AcceptSeq
+// queueHere answers as the leader.
+func (n *Node) queueHere(ctx context.Context, f operate.Filter) *peer.Reply {
+	return n.opInLoop(ctx, func() *peer.Reply {
+		if !n.active() {
+			return opNoLeader
+		}
+		now := n.now()
+		q := &wire.Queue{Node: n.set.Node, Log: n.applied, Jobs: []wire.Queued{}}
+		add := func(place int, j *model.Job) {
+			switch {
+			case f.Team != "" && f.Team != j.Spec.Team, f.Class != "" && f.Class != j.Spec.Class, f.Reason != "" && f.Reason != j.Why.Code.String():
+				return
+			case len(q.Jobs) >= f.Most:
+				q.More++
+			default:
+				row := wire.Queued{Place: place, ID: j.Spec.ID, Team: j.Spec.Team, Class: j.Spec.Class, Priority: j.Spec.Priority, Waiting: j.Waiting(),
+					Reason: j.Why.Code.String(), Text: j.Why.String(), AgeS: (now - j.Began).Seconds()}
+				if past := j.Past(); len(past) > 0 {
+					row.SinceS = (now - past[0].From).Seconds()
+				}
+				q.Jobs = append(q.Jobs, row)
+			}
+			q.Tasks += j.Waiting()
+		}
+		in, rest := n.sched.Waiting(n.m, now)
+		for i, j := range in {
+			add(i+1, j)
+		}
+		for _, j := range rest {
+			add(0, j)
+		}
+		return operate.Encode(http.StatusOK, q)
+	})
 }
 
-var tooSoon = func() *peer.Reply {
-	r := api.Later("another explanation is under way", 1)
-	r.Status = http.StatusTooManyRequests
-	return r
-}()
-
 // around lists the reasons that lie outside of the rounds: they hold for all jobs alike, or
 // for tasks that have a place.
 func (n *Node) around(j *model.Job) (out []why.Reason) {
@@ -144,10 +230,10 @@
 	return out
 }
 
-// told puts an account into the words of the interface.
-func told(j *model.Job, state string, a *explain.Account, around []why.Reason) *wire.Explanation {
-	e := &wire.Explanation{ID: j.Spec.ID, State: state, Waiting: a.Waiting, Places: a.Now.Placed, Stops: a.Now.Room, Reasons: []wire.Reason{}, Complete: a.Complete, Partial: a.Cut}
-	if j.Live > j.Running {
+// tell puts an account into the words of the interface. The job is nil if it is over.
+func tell(e *wire.Explanation, j *model.Job, a *explain.Account, around []why.Reason) {
+	e.Waiting, e.Places, e.Stops, e.Complete, e.Partial = a.Waiting, a.Now.Placed, a.Now.Room, a.Complete, a.Cut
+	if j != nil {
 		e.Starting = j.Live - j.Running
 	}
 	put := func(r why.Reason, f explain.Finding) {
@@ -165,5 +251,4 @@
 	for _, p := range a.Together {
 		e.Together = append(e.Together, [2]string{p[0].String(), p[1].String()})
 	}
-	return e
 }
--- a/internal/controller/why_test.go
+++ b/internal/controller/why_test.go
@@ -2,23 +2,41 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
+	"net"
+	"net/http"
 	"testing"
 	"time"
 
-	"fieldhill/internal/mphttp"
 	"fieldhill/internal/standin"
 	"fieldhill/wire"
 )
 
-// askWhy asks a node why a job waits.
-func askWhy(w *standin.World, i int, id string) (*wire.Explanation, error) {
-	c := mphttp.New(w.Net.Host("operator"), 1, 1, time.Second)
-	defer c.Close()
+// askOp asks a node on its operators' address.
+func askOp(w *standin.World, i int, path string, out any) (status int, err error) {
+	h := w.Net.Host("operator")
+	c := http.Client{Timeout: 5 * time.Second, Transport: &http.Transport{DisableKeepAlives: true, DialContext: func(ctx context.Context, _, a string) (net.Conn, error) {
+		return h.Dial(ctx, a, time.Second)
+	}}}
+	resp, err := c.Get("http://" + operateOf(standin.NodeName(i)) + path)
+	if err != nil {
+		return 0, err
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		out = &wire.OpProblem{}
+	}
+	return resp.StatusCode, json.NewDecoder(resp.Body).Decode(out)
+}
+
+func askWhy(w *standin.World, i int, id string) (*wire.Explanation, int) {
 	var e wire.Explanation
-	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
-	defer cancel()
-	return &e, c.Do(ctx, "GET", fmt.Sprintf("10.0.0.%d:80", i+1), wire.PathJobs+"/"+id+wire.WhySuffix, nil, &e, wire.MaxBody)
+	code, err := askOp(w, i, wire.PathOpJobs+"/"+id+wire.WhySuffix, &e)
+	if err != nil {
+		code = 0
+	}
+	return &e, code
 }
 
 func binding(e *wire.Explanation) (codes []string) {
@@ -46,9 +64,9 @@
 		time.Sleep(10 * time.Second)
 		starts, leader := w.Referee.Starts(), leaderOf()
 		for k := range 3 {
-			e, err := askWhy(w, (leader+k)%3, more.ID)
-			if err != nil {
-				t.Fatal(err)
+			e, code := askWhy(w, (leader+k)%3, more.ID)
+			if code != 200 {
+				t.Fatalf("node %d answers %d", (leader+k)%3, code)
 			}
 			var limit *wire.Reason
 			for i := range e.Reasons {
@@ -57,11 +75,22 @@
 				}
 			}
 			// One of the two has found its place within the limit.
-			if e.Waiting != 1 || limit == nil || limit.Used != 24 || limit.Limit != 24 || limit.Need != 4 || limit.Of != "CPUs" {
+			if e.Waiting != 1 || limit == nil || limit.Used != 24 || limit.Limit != 24 || limit.Need != 4 || limit.Of != "CPUs" || limit.Number != 2 || limit.First != big.ID {
 				t.Errorf("node %d: %+v", (leader+k)%3, e)
 			}
-			if _, err := askWhy(w, leader, more.ID); mphttp.Code(err) != 429 {
-				t.Errorf("a second question at once got %v", err)
+			if len(e.Past) == 0 || e.Past[0].Code != "team-limit" || e.Past[0].SinceS < 8 || e.Past[0].SinceS > 20 || e.AgeS != 0 || e.Node != standin.NodeName(leader) {
+				t.Errorf("node %d tells of the past: %+v", (leader+k)%3, e)
+			}
+			if _, code := askWhy(w, leader, more.ID); code != 429 {
+				t.Errorf("a second question at once got %d", code)
+			}
+			var q wire.Queue
+			code, err := askOp(w, (leader+k)%3, wire.PathOpQueue+"?reason=team-limit", &q)
+			if err != nil || code != 200 || len(q.Jobs) != 1 || q.Jobs[0].ID != more.ID || q.Jobs[0].Place != 1 || q.Tasks != 1 || q.More != 0 {
+				t.Errorf("node %d lists %+v: %d, %v", (leader+k)%3, q, code, err)
+			}
+			if code, err := askOp(w, (leader+k)%3, wire.PathOpQueue+"?team=blue", &q); err != nil || code != 200 || len(q.Jobs) != 0 {
+				t.Errorf("node %d lists %+v of a team without jobs: %d, %v", (leader+k)%3, q, code, err)
 			}
 			time.Sleep(2 * time.Second)
 		}
@@ -70,30 +99,30 @@
 		}
 		w.Cancel(big.ID)
 		time.Sleep(20 * time.Second)
-		if e, err := askWhy(w, leader, more.ID); err != nil || e.Waiting != 0 || len(e.Reasons) != 0 {
-			t.Errorf("of a job that runs: %+v, %v", e, err)
+		if e, code := askWhy(w, leader, more.ID); code != 200 || e.Waiting != 0 || len(e.Reasons) != 0 {
+			t.Errorf("of a job that runs: %+v, %d", e, code)
 		}
 		time.Sleep(2 * time.Second)
-		if e, err := askWhy(w, (leader+1)%3, big.ID); err != nil || e.State != wire.JobCancelled {
-			t.Errorf("of a job that was cancelled: %+v, %v", e, err)
+		if e, code := askWhy(w, (leader+1)%3, big.ID); code != 200 || e.State != wire.JobCancelled {
+			t.Errorf("of a job that was cancelled: %+v, %d", e, code)
 		}
 		time.Sleep(2 * time.Second)
-		if _, err := askWhy(w, leader, "req-777777"); mphttp.Code(err) != 404 {
-			t.Errorf("of an unknown job: %v", err)
+		if _, code := askWhy(w, leader, "req-777777"); code != 404 {
+			t.Errorf("of an unknown job: %d", code)
 		}
 		wide := web(3, 1)
 		wide.Spread, wide.Tasks, wide.Zone = true, 2, new(string)
 		*wide.Zone = "a" // and at most half of them may be there
 		w.Submit(wide)
 		time.Sleep(10 * time.Second)
-		if e, err := askWhy(w, leader, wide.ID); err != nil || fmt.Sprint(binding(e)) != "[spread]" || !e.Complete {
-			t.Errorf("of a job that must be in one zone and may not: %+v, %v", e, err)
+		if e, code := askWhy(w, leader, wide.ID); code != 200 || fmt.Sprint(binding(e)) != "[spread]" || !e.Complete {
+			t.Errorf("of a job that must be in one zone and may not: %+v, %d", e, code)
 		}
 		w.State.SetOutage(true)
 		w.Crash(leader)
 		time.Sleep(4 * time.Second)
-		if e, err := askWhy(w, (leader+1)%3, wide.ID); err != nil || fmt.Sprint(binding(e)) != "[no-leader]" {
-			t.Errorf("without a leader: %+v, %v", e, err)
+		if e, code := askWhy(w, (leader+1)%3, wide.ID); code != 200 || fmt.Sprint(binding(e)) != "[no-leader]" || e.AgeS <= 0 {
+			t.Errorf("without a leader: %+v, %d", e, code)
 		}
 		w.State.SetOutage(false)
 	})
--- a/internal/controller/world_test.go
+++ b/internal/controller/world_test.go
@@ -80,6 +80,8 @@
 
 func metricsOf(node string) string { return "10.4.0." + node[1:] + ":80" }
 
+func operateOf(node string) string { return "10.5.0." + node[1:] + ":80" }
+
 func controller(t *testing.T) standin.Controller {
 	var out io.Writer = io.Discard
 	level := slog.LevelInfo
@@ -89,7 +91,7 @@
 	}
 	return func(ctx context.Context, h host.Net, s *config.Settings) error {
 		log := slog.New(slog.NewTextHandler(out, &slog.HandlerOptions{Level: level})).With("node", s.Node)
-		n := New(h, s, Options{Beta: 0.8, Threshold: 0.5, WaitRounds: 2, Round: 2 * time.Second, Metrics: metricsOf(s.Node), Explain: true}, log)
+		n := New(h, s, Options{Beta: 0.8, Threshold: 0.5, WaitRounds: 2, Round: 2 * time.Second, Metrics: metricsOf(s.Node), Operate: operateOf(s.Node)}, log)
 		n.ctx = ctx
 		if compactEvery > 0 {
 			n.snapEvery = compactEvery
--- a/internal/explain/lifts.go
+++ b/internal/explain/lifts.go
@@ -48,7 +48,19 @@
 	}, func(t *trial) { t.s.LowMost = 0 }},
 	{why.Team, func(t *trial) (why.Reason, bool) {
 		n := members(t.j)
-		return t.s.TeamReason(t.j, n), t.j.Team == nil || !t.j.TeamAllows(n)
+		r, most := t.s.TeamReason(t.j, n), 0.0
+		for _, o := range t.m.JobsInOrder() { // who uses it, and the first of them who uses most
+			use := o.Spec.CPUs
+			if r.Of == "GPUs" {
+				use = o.Spec.GPUs
+			}
+			if use *= float64(o.Live); o.Team == t.j.Team && use > 0 {
+				if r.N++; use > most {
+					r.Who, most = o.Spec.ID, use
+				}
+			}
+		}
+		return r, t.j.Team == nil || !t.j.TeamAllows(n)
 	}, func(t *trial) {
 		// Its own copy of the team: the others' limit stays.
 		team := model.Team{}
--- a/internal/model/clone.go
+++ b/internal/model/clone.go
@@ -9,12 +9,12 @@
 // that the copy's owner does reaches the model, and the copy may be read while the model goes
 // on; what never changes (jobs' descriptions, machines' details) is shared. What only matters
 // between a leader and its workers (commands under way, judgements) is left out, and so are the
-// final states, which grow with history. It takes some milliseconds for ten thousand runs.
+// final states, which grow with history; machines are not found by name. It takes some milliseconds for ten thousand runs.
 func (m *Model) Clone() *Model {
 	c := &Model{
 		Images: m.Images.Clone(), Classes: m.Classes.Clone(), Zones: m.Zones.Clone(), TypeNames: m.TypeNames.Clone(),
 		Jobs: make(map[JobID]*Job, len(m.Jobs)), Finals: map[JobID]Final{}, Machines: make(map[MachineID]*Machine, len(m.Machines)),
-		ByName: make(map[string]*Machine, len(m.Machines)), teamByName: map[string]*Team{}, Types: slices.Clone(m.Types), Tombs: map[string]bool{},
+		ByName: map[string]*Machine{}, teamByName: map[string]*Team{}, Types: slices.Clone(m.Types), Tombs: map[string]bool{},
 		NextMachine: m.NextMachine, jobOrder: m.jobOrder, LiveTasks: m.LiveTasks, finalSeq: map[JobID]uint64{},
 		bias: slices.Clone(m.bias), TermBase: m.TermBase,
 	}
@@ -26,29 +26,58 @@
 		c.Teams = append(c.Teams, &t)
 		c.teamByName[t.Name] = &t
 	}
+	// One piece of memory for each kind: thousands of small ones take ten times as long.
+	machines, images, pulls, runs := make([]Machine, len(m.Order)), 0, 0, 0
 	for _, mc := range m.Order {
-		o := *mc
-		o.Runs, o.cache, o.pulls = make([]*Run, 0, len(mc.Runs)), slices.Clone(mc.cache), slices.Clone(mc.pulls)
+		images, pulls, runs = images+len(mc.cache), pulls+len(mc.pulls), runs+len(mc.Runs)
+	}
+	c.Order = make([]*Machine, len(m.Order))
+	caches, pulled, runSlab, runPtrs := make([]cached, 0, images), make([]pull, 0, pulls), make([]Run, runs), make([]*Run, runs)
+	for i, mc := range m.Order {
+		o := &machines[i]
+		*o = *mc
+		o.cache, caches = piece(caches, mc.cache)
+		o.pulls, pulled = piece(pulled, mc.pulls)
 		o.FailedJobs, o.unsure, o.dead = nil, nil, nil
-		c.Order = append(c.Order, &o)
-		c.Machines[o.ID], c.ByName[o.Info.Name] = &o, &o
+		c.Order[i] = o
+		c.Machines[o.ID] = o
+	}
+	live, tasks := m.JobsInOrder(), 0
+	for _, j := range live {
+		tasks += len(j.Tasks)
 	}
-	for _, j := range m.JobsInOrder() {
-		o := *j
-		o.Tasks, o.retry, o.FailedOn = slices.Clone(j.Tasks), slices.Clone(j.retry), maps.Clone(j.FailedOn)
+	jobs, taskSlab := make([]Job, len(live)), make([]Task, 0, tasks)
+	c.inOrder = make([]*Job, len(live))
+	for i, j := range live {
+		o := &jobs[i]
+		*o = *j
+		o.Tasks, taskSlab = piece(taskSlab, j.Tasks)
+		o.retry, o.FailedOn = slices.Clone(j.retry), maps.Clone(j.FailedOn)
 		if j.Team != nil {
 			o.Team = c.Teams[j.Team.Index]
 		}
-		c.Jobs[o.ID] = &o
-		c.inOrder = append(c.inOrder, &o)
+		c.Jobs[o.ID], c.inOrder[i] = o, o
 	}
+	k := 0
 	for i, mc := range m.Order { // runs keep their order on a machine: decisions may follow it
+		o := c.Order[i]
+		from := k
 		for _, r := range mc.Runs {
-			o := *r
-			o.Job, o.Machine = c.Jobs[r.Job.ID], c.Order[i]
-			o.Job.Tasks[r.Task].Run = &o
-			c.Order[i].Runs = append(c.Order[i].Runs, &o)
+			n := &runSlab[k]
+			*n = *r
+			n.Job, n.Machine = c.Jobs[r.Job.ID], o
+			n.Job.Tasks[r.Task].Run = n
+			runPtrs[k] = n
+			k++
 		}
+		o.Runs = runPtrs[from:k:k]
 	}
 	return c
 }
+
+// piece copies a list to the end of a slab, and gives the copy, which can't grow into what follows.
+func piece[T any](slab, list []T) (copied, rest []T) {
+	from := len(slab)
+	slab = append(slab, list...)
+	return slab[from:len(slab):len(slab)], slab
+}
--- a/internal/model/model.go
+++ b/internal/model/model.go
@@ -125,6 +125,7 @@
 	// What the leader keeps for scheduling.
 	Waited     int        // rounds spent waiting for a busy machine with the image
 	Why        why.Reason // what was in the way of its next task when last looked at
+	past       [pastReasons]Past
 	NotBefore  Time
 	LocalSince Time // when room was last begun to be made where its image is; 0: never
 	Errors     int
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -41,7 +41,8 @@
 	OpSubmit
 	OpStatus
 	OpCancel
-	OpWhy // a node that does not know it answers 501
+	OpWhy // this and the next one: a node that does not know them answers 501
+	OpQueue
 )
 
 // Call is a request to another controller.
--- a/internal/sched/queue.go
+++ b/internal/sched/queue.go
@@ -137,6 +137,23 @@
 	return config.StartWithin(s.P.Objectives, j.Spec.Class)
 }
 
+// Waiting lists the jobs with waiting tasks: those that take part in a round, in the order in which
+// they are served, and the rest (paused, or one task at a time after failures).
+func (s *Sched) Waiting(m *model.Model, now model.Time) (in, rest []*model.Job) {
+	jobs := m.JobsInOrder()
+	Guarantees(m, jobs)
+	part := map[*model.Job]bool{}
+	for _, q := range s.queue(m, jobs, now) {
+		in, part[q.j] = append(in, q.j), true
+	}
+	for _, j := range jobs {
+		if j.Waiting() > 0 && !part[j] {
+			rest = append(rest, j)
+		}
+	}
+	return in, rest
+}
+
 // Ahead lists the jobs that are served before a waiting job, in their order.
 func (s *Sched) Ahead(m *model.Model, j *model.Job, now model.Time) (ahead []*model.Job) {
 	jobs := m.JobsInOrder()
--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -117,6 +117,9 @@
 	}
 	s.evacuate(m, now, do)
 	s.vacate(m, jobs, now, do)
+	for _, j := range jobs {
+		j.NoteWhy(now)
+	}
 }
 
 // sit lists the machines of a round.
--- a/internal/standin/balancer.go
+++ b/internal/standin/balancer.go
@@ -39,9 +39,6 @@
 	mux.HandleFunc("GET "+wire.PathJobs+"/{id}", func(rw http.ResponseWriter, r *http.Request) {
 		b.pass(rw, r, "poll", r.PathValue("id"), nil)
 	})
-	mux.HandleFunc("GET "+wire.PathJobs+"/{id}"+wire.WhySuffix, func(rw http.ResponseWriter, r *http.Request) {
-		b.pass(rw, r, "why", r.PathValue("id"), nil)
-	})
 	mux.HandleFunc("POST "+wire.PathJobs+"/{id}"+wire.CancelSuffix, func(rw http.ResponseWriter, r *http.Request) {
 		b.pass(rw, r, "cancel", r.PathValue("id"), nil)
 	})
--- a/internal/standin/world.go
+++ b/internal/standin/world.go
@@ -280,8 +280,6 @@
 	switch what {
 	case "poll":
 		method, path = "GET", wire.PathJobs+"/"+id
-	case "why": // no answer by which a job is judged
-		method, path = "GET", wire.PathJobs+"/"+id+wire.WhySuffix
 	case "cancel":
 		w.Referee.Asked(id)
 		path = wire.PathJobs + "/" + id + wire.CancelSuffix
@@ -299,9 +297,6 @@
 	if b, err = io.ReadAll(resp.Body); err != nil {
 		return 0, nil, nil, nil
 	}
-	if what == "why" {
-		return resp.StatusCode, resp.Header, b, nil
-	}
 	s = &wire.JobStatus{}
 	if resp.StatusCode < 300 {
 		if err := wire.Unmarshal(b, s); err != nil {
--- a/internal/why/why.go
+++ b/internal/why/why.go
@@ -90,6 +90,16 @@
 	return fmt.Sprintf("code-%d", c)
 }
 
+// Find finds a code by its name.
+func Find(name string) (Code, bool) {
+	for c := range codes {
+		if texts[c].name == name {
+			return c, true
+		}
+	}
+	return None, false
+}
+
 // Reason is a code with its figures; those that do not apply are 0 or empty.
 type Reason struct {
 	Code  Code
--- a/wire/why.go
+++ b/wire/why.go
@@ -1,35 +1,80 @@
 package wire
 
-// WhySuffix, after a job's path, asks why it waits (GET). It is this service's own, not the
-// platform's: a controller that does not have it, or was not told to, answers 404 or 501.
-const WhySuffix = "/why"
+// Paths on the operators' address (--operate). They are this service's own, not the
+// platform's, and speak JSON; docs/schema has their schemas.
+const (
+	PathOpJobs  = "/v1/jobs" // with /{id}/why behind it
+	WhySuffix   = "/why"
+	PathOpQueue = "/v1/queue" // ?team=&class=&reason=&most=
+)
 
-// Explanation tells for what a job waits.
+// MostQueued is how many jobs an answer about the queue lists at most.
+const MostQueued = 500
+
+// Explanation tells for what a job waits, at one state of the leader.
 type Explanation struct {
-	ID       string      `msgpack:"id"`
-	State    string      `msgpack:"state"`
-	Waiting  int         `msgpack:"waiting"`            // tasks without a place
-	Starting int         `msgpack:"starting,omitempty"` // tasks with a place that do not run yet
-	Places   int         `msgpack:"places"`             // tasks that the next round will place, as things are
-	Stops    int         `msgpack:"stops,omitempty"`    // tasks of others that it will stop for the job
-	Reasons  []Reason    `msgpack:"reasons"`
-	Together [][2]string `msgpack:"together,omitempty"` // pairs of codes of which neither helps alone
-	Complete bool        `msgpack:"complete"`           // without all these reasons every waiting task gets a place
-	Partial  bool        `msgpack:"partial,omitempty"`  // not all pairs were tried
+	ID       string      `json:"id"`
+	State    string      `json:"state" jsonschema:"enum=pending,enum=running,enum=done,enum=withdrawn"`
+	Log      uint64      `json:"log" jsonschema:"description=number of the last batch of the log that it knows of"`
+	Node     string      `json:"node" jsonschema:"description=the controller that explains"`
+	AgeS     float64     `json:"age_s" jsonschema:"description=seconds since that controller last knew the log to its end; 0 for a leader"`
+	Waiting  int         `json:"waiting" jsonschema:"description=tasks without a place"`
+	Starting int         `json:"starting" jsonschema:"description=tasks with a place that do not run yet"`
+	Places   int         `json:"places" jsonschema:"description=tasks that the next round will place as things are"`
+	Stops    int         `json:"stops" jsonschema:"description=tasks of others that it will stop for the job"`
+	Reasons  []Reason    `json:"reasons"`
+	Together [][2]string `json:"together" jsonschema:"description=pairs of codes of which neither helps alone"`
+	Complete bool        `json:"complete" jsonschema:"description=without all these reasons every waiting task gets a place"`
+	Partial  bool        `json:"partial" jsonschema:"description=not all pairs were tried"`
+	Past     []Past      `json:"past" jsonschema:"description=what the scheduler gave as the reason, the present one first"`
 }
 
 // Reason is one of them.
 type Reason struct {
-	Code   string  `msgpack:"code"` // stable, see docs/WHY.md
-	Text   string  `msgpack:"text"` // with its figures
-	Binds  bool    `msgpack:"binds"`
-	Gains  int     `msgpack:"gains"`            // tasks that the next round would place without it
-	Stops  int     `msgpack:"stops,omitempty"`  // tasks of others that it would stop for the job
-	ForS   float64 `msgpack:"for_s,omitempty"`  // seconds until it ends, where that is known
-	Number int     `msgpack:"number,omitempty"` // of jobs, machines, tasks or failures
-	First  string  `msgpack:"first,omitempty"`  // the first of them
-	Of     string  `msgpack:"of,omitempty"`     // what the next three are
-	Need   float64 `msgpack:"need,omitempty"`
-	Used   float64 `msgpack:"used,omitempty"`
-	Limit  float64 `msgpack:"limit,omitempty"`
+	Code   string  `json:"code" jsonschema:"description=stable, see docs/WHY.md"`
+	Text   string  `json:"text"`
+	Binds  bool    `json:"binds" jsonschema:"description=the next round does more for the job without it"`
+	Gains  int     `json:"gains" jsonschema:"description=tasks that it places without it"`
+	Stops  int     `json:"stops" jsonschema:"description=tasks of others that it stops for the job without it"`
+	ForS   float64 `json:"for_s,omitempty" jsonschema:"description=seconds until it ends where that is known"`
+	Number int     `json:"number,omitempty" jsonschema:"description=of jobs or machines or tasks or failures"`
+	First  string  `json:"first,omitempty" jsonschema:"description=the first of them"`
+	Of     string  `json:"of,omitempty" jsonschema:"description=what need and used and limit are"`
+	Need   float64 `json:"need,omitempty"`
+	Used   float64 `json:"used,omitempty"`
+	Limit  float64 `json:"limit,omitempty"`
+}
+
+// Past is a reason that the scheduler gave for some time.
+type Past struct {
+	Code   string  `json:"code"`
+	SinceS float64 `json:"since_s" jsonschema:"description=seconds ago when it began"`
+}
+
+// Queue lists jobs with waiting tasks, in the order in which they are served.
+type Queue struct {
+	Node  string   `json:"node"`
+	Log   uint64   `json:"log"`
+	Jobs  []Queued `json:"jobs"`
+	Tasks int      `json:"tasks" jsonschema:"description=waiting tasks of all that match"`
+	More  int      `json:"more" jsonschema:"description=jobs that match and are not listed"`
+}
+
+// Queued is one of them.
+type Queued struct {
+	Place    int     `json:"place" jsonschema:"description=in the whole queue from 1; 0: it does not take part at the moment"`
+	ID       string  `json:"id"`
+	Team     string  `json:"team"`
+	Class    string  `json:"class"`
+	Priority string  `json:"priority"`
+	Waiting  int     `json:"waiting"`
+	Reason   string  `json:"reason"`
+	Text     string  `json:"text"`
+	SinceS   float64 `json:"since_s" jsonschema:"description=seconds for which the reason has held"`
+	AgeS     float64 `json:"age_s" jsonschema:"description=seconds since this leader knows the job"`
+}
+
+// OpProblem is the body of a refusal on the operators' address.
+type OpProblem struct {
+	Error string `json:"error"`
 }
