Say once what stood twice: what the cloud has, a type's room, the queue, the commands' requests

Found on reading the whole change. fleet.Filled and Freed were the same: Has. The room of an empty machine of a type stood six times: sched.Whole. Ahead walked the queue beside Waiting. The operators' commands sent requests as the users' do: exchange. callOf's condition is turned round, and Account.Decided, which nobody read, is gone.

--- a/cmd/fieldhill/client.go
+++ b/cmd/fieldhill/client.go
@@ -38,25 +38,34 @@
 	Timeout time.Duration `default:"5s" help:"How long to wait for an answer."`
 }
 
-// call sends a request and decodes a good answer into out.
-func (t *target) call(method, path string, body []byte, out any) error {
-	ctx, cancel := context.WithTimeout(context.Background(), t.Timeout)
+// exchange sends a request to a controller and reads the answer up to a limit of bytes.
+func exchange(addr, method, path string, body []byte, timeout time.Duration, limit int64) (*http.Response, []byte, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), timeout)
 	defer cancel()
-	req, err := http.NewRequestWithContext(ctx, method, "http://"+t.Addr+path, bytes.NewReader(body))
+	req, err := http.NewRequestWithContext(ctx, method, "http://"+addr+path, bytes.NewReader(body))
 	if err != nil {
-		return err
+		return nil, nil, err
 	}
 	if body != nil {
 		req.Header.Set("Content-Type", wire.ContentType)
 	}
 	resp, err := http.DefaultClient.Do(req)
 	if err != nil {
-		return &failure{exitLater, fmt.Sprintf("no answer from %s: %v", t.Addr, err)}
+		return nil, nil, &failure{exitLater, fmt.Sprintf("no answer from %s: %v", addr, err)}
 	}
 	defer resp.Body.Close()
-	b, err := io.ReadAll(io.LimitReader(resp.Body, wire.MaxBody))
+	b, err := io.ReadAll(io.LimitReader(resp.Body, limit))
+	if err != nil {
+		return nil, nil, &failure{exitLater, fmt.Sprintf("no whole answer from %s: %v", addr, err)}
+	}
+	return resp, b, nil
+}
+
+// call sends a request and decodes a good answer into out.
+func (t *target) call(method, path string, body []byte, out any) error {
+	resp, b, err := exchange(t.Addr, method, path, body, t.Timeout, wire.MaxBody)
 	if err != nil {
-		return &failure{exitLater, fmt.Sprintf("no whole answer from %s: %v", t.Addr, err)}
+		return err
 	}
 	if resp.StatusCode == http.StatusOK || resp.StatusCode == http.StatusCreated {
 		if out == nil {
--- a/cmd/fieldhill/operate.go
+++ b/cmd/fieldhill/operate.go
@@ -1,7 +1,6 @@
 package main
 
 import (
-	"context"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -24,21 +23,10 @@
 
 // ask reads an answer into out, or prints it as it came and tells so.
 func (o *operator) ask(path string, out any) (printed bool, err error) {
-	ctx, cancel := context.WithTimeout(context.Background(), o.Timeout)
-	defer cancel()
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+o.At+path, nil)
+	resp, b, err := exchange(o.At, http.MethodGet, path, nil, o.Timeout, 1<<20)
 	if err != nil {
 		return false, err
 	}
-	resp, err := http.DefaultClient.Do(req)
-	if err != nil {
-		return false, &failure{exitLater, fmt.Sprintf("no answer from %s: %v", o.At, err)}
-	}
-	defer resp.Body.Close()
-	b, err := io.ReadAll(io.LimitReader(resp.Body, 1<<20))
-	if err != nil {
-		return false, &failure{exitLater, fmt.Sprintf("no whole answer from %s: %v", o.At, err)}
-	}
 	if resp.StatusCode != http.StatusOK {
 		var p wire.OpProblem
 		text := resp.Status
--- a/internal/controller/house.go
+++ b/internal/controller/house.go
@@ -623,7 +623,7 @@
 		n.fleet.Refused(h.Offer, n.now())
 		n.log.Info("not all could be rented", "type", req.Type, "zone", req.Zone, "spot", req.Spot, "wanted", h.Count, "got", len(names))
 	} else {
-		n.fleet.Filled(h.Offer)
+		n.fleet.Has(h.Offer)
 	}
 	for _, name := range names {
 		if n.m.ByName[name] != nil || n.m.Tombs[name] {
@@ -670,7 +670,7 @@
 			}
 			for _, name := range names {
 				if mc := n.m.ByName[name]; mc != nil {
-					n.fleet.Freed(fleet.Offer{Type: mc.Type, Zone: mc.Zone, Spot: mc.Spot})
+					n.fleet.Has(fleet.Offer{Type: mc.Type, Zone: mc.Zone, Spot: mc.Spot})
 					n.propose(&model.Entry{Kind: model.EntryGone, Machine: mc.ID})
 					n.dirty = true
 				}
--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -35,7 +35,6 @@
 // Account is what there is to say of a job.
 type Account struct {
 	Waiting  int           // tasks that want a place
-	Decided  why.Reason    // what the scheduler said last
 	Now      Outcome       // of the next round, as things are
 	Findings []Finding     // in the order in which a task meets them
 	Together [][2]why.Code // pairs of which neither helps alone
@@ -67,7 +66,7 @@
 	if j == nil {
 		return nil
 	}
-	a := &Account{Waiting: j.Waiting(), Decided: j.Why}
+	a := &Account{Waiting: j.Waiting()}
 	if a.Waiting == 0 {
 		return a
 	}
--- a/internal/explain/lifts.go
+++ b/internal/explain/lifts.go
@@ -215,7 +215,7 @@
 	need, added := sched.Need(t.j), 0
 	for typ := range t.m.Types {
 		ty := &t.m.Types[typ]
-		if !ty.Known || !(sched.Room{CPUs: ty.CPUs, GPUs: ty.GPUs, Mem: ty.MemoryGB}).Holds(need) {
+		if !ty.Known || !sched.Whole(ty).Holds(need) {
 			continue
 		}
 		for _, zone := range ty.ZoneIDs {
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -104,17 +104,12 @@
 	f.refused[o] = r
 }
 
-// Freed notes that the cloud took a machine of an offer back, so that it has one again. Without
-// it, when machines died where the cloud had no more, their replacements waited out a pause of
-// up to 80 s that had begun before.
-func (f *Fleet) Freed(o Offer) { delete(f.refused, o) }
-
 // RefusedTo tells how many offers that suit a job the cloud has refused lately, and in how long
 // the first of them is asked for again.
 func (f *Fleet) RefusedTo(m *model.Model, j *model.Job, now model.Time) (n int, in model.Time) {
 	for o, r := range f.refused {
 		t := &m.Types[o.Type]
-		if r.until <= now || !j.Allowed(o.Type, o.Zone, o.Spot) || !(sched.Room{CPUs: t.CPUs, GPUs: t.GPUs, Mem: t.MemoryGB}).Holds(sched.Need(j)) {
+		if r.until <= now || !j.Allowed(o.Type, o.Zone, o.Spot) || !sched.Whole(t).Holds(sched.Need(j)) {
 			continue
 		}
 		if n++; n == 1 || r.until-now < in {
@@ -124,8 +119,10 @@
 	return n, in
 }
 
-// Filled notes that the cloud had some.
-func (f *Fleet) Filled(o Offer) { delete(f.refused, o) }
+// Has notes that the cloud has some of an offer: it filled a request, or took a machine back. When
+// machines died where it had no more, their replacements waited out a pause of up to 80 s that
+// had begun before.
+func (f *Fleet) Has(o Offer) { delete(f.refused, o) }
 
 // within is the tightest time that the objectives give a class to start.
 func (f *Fleet) within(m *model.Model, c int32) (float64, bool) {
@@ -405,7 +402,7 @@
 	}
 	for o, n := range f.Pending {
 		t := &m.Types[o.Type]
-		total := sched.Room{CPUs: t.CPUs, GPUs: t.GPUs, Mem: t.MemoryGB}
+		total := sched.Whole(t)
 		for range n {
 			out = append(out, &slot{offer: o, total: total, free: total})
 		}
@@ -521,7 +518,7 @@
 	for i := range m.Types {
 		t := &m.Types[i]
 		it := item{types: c.types, zone: -1}
-		if !t.Known || !(sched.Room{CPUs: t.CPUs, GPUs: t.GPUs, Mem: t.MemoryGB}).Holds(c.need) || !it.allows(Offer{Type: int32(i)}) {
+		if !t.Known || !sched.Whole(t).Holds(c.need) || !it.allows(Offer{Type: int32(i)}) {
 			continue
 		}
 		for _, z := range t.ZoneIDs {
@@ -627,7 +624,7 @@
 			return
 		}
 		t := &m.Types[o.Type]
-		total := sched.Room{CPUs: t.CPUs, GPUs: t.GPUs, Mem: t.MemoryGB}
+		total := sched.Whole(t)
 		s := &slot{offer: o, total: total, free: total, used: true, wish: true, why: it.why}
 		for left > 0 && s.free.Holds(it.need) && it.allows(o) {
 			it.put(s)
@@ -794,7 +791,7 @@
 func (f *Fleet) price(m *model.Model, it *item, o Offer, left int) (float64, bool) {
 	t := &m.Types[o.Type]
 	fit := 0
-	for r := (sched.Room{CPUs: t.CPUs, GPUs: t.GPUs, Mem: t.MemoryGB}); fit < left && r.Holds(it.need); fit++ {
+	for r := sched.Whole(t); fit < left && r.Holds(it.need); fit++ {
 		r = r.Minus(it.need)
 	}
 	if !t.Known || fit == 0 || !it.allows(o) {
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -191,7 +191,7 @@
 func TestFreedIsAskedAgain(t *testing.T) {
 	m, f, apply := site(t, 0, 0)
 	o := Offer{}
-	f.Filled(o)
+	f.Has(o)
 	for range 4 {
 		f.Refused(o, 0) // a pause of 80 s
 	}
@@ -200,7 +200,7 @@
 	if n := rented(f.Plan(m, 10e9)); n != 0 {
 		t.Fatalf("%d machines are asked for in the pause", n)
 	}
-	f.Freed(o)
+	f.Has(o)
 	if n := rented(f.Plan(m, 10e9)); n != 1 {
 		t.Errorf("%d machines are asked for once the cloud took one back", n)
 	}
--- a/internal/sched/call.go
+++ b/internal/sched/call.go
@@ -36,7 +36,7 @@
 	first, last := 0.0, 0.0
 	c = inTime
 	for _, o := range s.P.Objectives {
-		if o.Kind != "guarantee" && (o.Kind != "wait" || o.Class != j.Spec.Class) || o.Kind == "guarantee" && !j.Guaranteed {
+		if !(o.Kind == "wait" && o.Class == j.Spec.Class) && !(o.Kind == "guarantee" && j.Guaranteed) {
 			continue
 		}
 		if first == 0 || o.WithinS < first {
--- a/internal/sched/queue.go
+++ b/internal/sched/queue.go
@@ -154,15 +154,8 @@
 	return in, rest
 }
 
-// Ahead lists the jobs that are served before a waiting job, in their order.
-func (s *Sched) Ahead(m *model.Model, j *model.Job, now model.Time) (ahead []*model.Job) {
-	jobs := m.JobsInOrder()
-	Guarantees(m, jobs)
-	for _, q := range s.queue(m, jobs, now) {
-		if q.j == j {
-			return ahead
-		}
-		ahead = append(ahead, q.j)
-	}
-	return nil // it is not in the queue
+// Ahead lists the jobs that are served before a waiting job, in their order; none if it does not take part.
+func (s *Sched) Ahead(m *model.Model, j *model.Job, now model.Time) []*model.Job {
+	in, _ := s.Waiting(m, now)
+	return in[:max(0, slices.Index(in, j))]
 }
--- a/internal/sched/room.go
+++ b/internal/sched/room.go
@@ -48,11 +48,11 @@
 // Need is what a task of a job takes.
 func Need(j *model.Job) Room { return Room{j.Spec.CPUs, j.Spec.GPUs, j.Spec.MemoryGB} }
 
+// Whole is what an empty machine of a type has.
+func Whole(t *model.Type) Room { return Room{t.CPUs, t.GPUs, t.MemoryGB} }
+
 // Total is what a machine has.
-func Total(m *model.Model, mc *model.Machine) Room {
-	t := m.TypeOf(mc)
-	return Room{t.CPUs, t.GPUs, t.MemoryGB}
-}
+func Total(m *model.Model, mc *model.Machine) Room { return Whole(m.TypeOf(mc)) }
 
 func used(mc *model.Machine) Room { return Room{mc.CPUs, mc.GPUs, mc.Mem} }
 
