Take the dealings with the cloud out of the loop into a desk of its own

Behaviour unchanged: rentals, returns, the list and the types are carried out by internal/rent, which knows neither the node nor who leads, and tells what came of each. The leader's side, what it wants and what it takes from the outcomes, is a file of its own.

--- a/internal/controller/house.go
+++ b/internal/controller/house.go
@@ -2,23 +2,17 @@
 
 import (
 	"context"
-	"errors"
 	"math"
-	"net/http"
 	"sort"
-	"strings"
 	"time"
 
 	"fieldhill/internal/config"
-	"fieldhill/internal/fleet"
 	"fieldhill/internal/model"
-	"fieldhill/internal/mphttp"
 	"fieldhill/internal/oplog"
 	"fieldhill/internal/why"
-	"fieldhill/wire"
 )
 
-// This file is the leader's dealings with the cloud, and what is done regularly.
+// This file is what the leader judges and does regularly.
 
 func (n *Node) housekeep() {
 	now := time.Now()
@@ -41,20 +35,12 @@
 	for mc := range r.touched {
 		n.direct(mc)
 	}
-	if now.Sub(r.lastTypes) > 60*time.Second || !n.m.TypesKnown() && now.Sub(r.lastTypes) > time.Second {
-		r.lastTypes = now
-		n.askTypes(r)
-	}
-	if !r.listing && now.Sub(r.lastList) > max(2*time.Second, config.Seconds(8/n.set.Params.Cloud.RPS)) {
-		r.listing, r.lastList = true, now
-		n.list(r)
-	}
 	if now.Sub(r.lastFleet) > 500*time.Millisecond && now.After(r.placeFrom) && !r.stalled() {
 		r.lastFleet = now
 		n.runFleet(r)
 	}
 	n.m.Watch(gap)
-	n.returnMachines(r)
+	n.atDesk(now)
 }
 
 const (
@@ -92,81 +78,6 @@
 	}
 }
 
-func (n *Node) askTypes(r *role) {
-	go func() {
-		types, err := n.cloud.Types(r.ctx)
-		n.post(func() {
-			if n.role != r {
-				return
-			}
-			if err != nil {
-				n.log.Warn("cloud does not tell its machine types", "err", err)
-				return
-			}
-			for i := range types {
-				n.learnType(&types[i])
-			}
-		})
-	}()
-}
-
-// learnType logs a type that is new or has changed in more than its price.
-func (n *Node) learnType(t *wire.MachineType) {
-	if id, ok := n.m.TypeNames.Find(t.Name); ok && int(id) < len(n.m.Types) && n.m.Types[id].Known {
-		old := &n.m.Types[id].MachineType
-		a, b := *old, *t
-		a.Price, a.SpotPrice, a.Zones = 0, 0, nil
-		b.Price, b.SpotPrice, b.Zones = 0, 0, nil
-		if a.CPUs == b.CPUs && a.GPUs == b.GPUs && a.MemoryGB == b.MemoryGB && a.CacheGB == b.CacheGB &&
-			a.FetchGBPerS == b.FetchGBPerS && a.BootS == b.BootS && strings.Join(old.Zones, " ") == strings.Join(t.Zones, " ") {
-			old.Price, old.SpotPrice = t.Price, t.SpotPrice
-			return
-		}
-	}
-	n.propose(&model.Entry{Kind: model.EntryType, Type: t})
-	n.dirty = true
-}
-
-func (n *Node) list(r *role) {
-	go func() {
-		list, err := n.cloud.List(r.ctx)
-		n.post(func() {
-			if n.role != r {
-				return
-			}
-			r.listing, r.cloudDown = false, err != nil
-			if err != nil {
-				n.log.Debug("cloud does not list machines", "err", err)
-				return
-			}
-			for i := range list {
-				n.listed(&list[i])
-			}
-		})
-	}()
-}
-
-// listed takes in a row of the machine list. The list lags, so only three things
-// are taken from it: machines nobody knew, machines that failed, and addresses.
-func (n *Node) listed(l *wire.ListedMachine) {
-	if n.m.Tombs[l.Name] {
-		return
-	}
-	mc := n.m.ByName[l.Name]
-	if mc == nil {
-		n.log.Info("machine listed", "machine", l.Name, "type", l.Type, "zone", l.Zone, "state", l.State)
-		n.propose(&model.Entry{Kind: model.EntryMachine, Machine: n.m.NextMachine, At: time.Now().UnixMilli() - int64(l.AgeS*1000),
-			Info: &model.MachineInfo{Name: l.Name, Addr: l.Addr, Type: l.Type, Zone: l.Zone, Spot: l.Spot}})
-		mc = n.m.ByName[l.Name]
-	}
-	if mc.Info.Addr == "" {
-		n.learnAddr(mc, l.Addr)
-	}
-	if l.State == wire.MachineFailed {
-		n.giveUp(mc, "the cloud lists it as failed")
-	}
-}
-
 // giveUp has a machine returned, once the log has it; its tasks are gone when the
 // cloud says so.
 func (n *Node) giveUp(mc *model.Machine, why string) {
@@ -186,7 +97,7 @@
 	n.judgeMachines(r)
 	n.summary(r)
 	now := n.now()
-	n.fleet.Pending = r.pending
+	n.fleet.Pending = n.rentals()
 	p := n.fleet.Plan(n.m, now)
 	n.sched.Vacate = p.Vacate
 	n.sched.Headroom, n.sched.ForServices, n.sched.LowMay = p.Headroom, p.ForServices, p.LowMay
@@ -207,10 +118,10 @@
 	// twice for the same offer: the answer to the first tells what is left.
 	under := max(2, int(n.set.Params.Cloud.RPS))
 	for _, h := range p.Hires {
-		if len(r.pending) >= under {
+		if len(n.fleet.Pending) >= under {
 			break
 		}
-		if r.pending[h.Offer] == 0 {
+		if n.fleet.Pending[h.Offer] == 0 {
 			n.hire(r, h)
 		}
 	}
@@ -581,129 +492,3 @@
 		}
 	}()
 }
-
-// hire asks for machines. A request without an answer is repeated under the same
-// name until its fate is known: it rents nothing twice.
-func (n *Node) hire(r *role, h fleet.Hire) {
-	h.Count = min(h.Count, wire.MaxHire)
-	r.hires++
-	req := &wire.Hire{Request: fleet.Name(r.ld.Term, r.hires), Type: n.m.TypeNames.Name(h.Type), Zone: n.m.Zones.Name(h.Zone),
-		Spot: h.Spot, Count: h.Count}
-	r.pending[h.Offer] += h.Count
-	n.log.Info("renting", "type", req.Type, "zone", req.Zone, "spot", req.Spot, "count", req.Count, "request", req.Request, "why", h.Why)
-	go func() {
-		pause := 500 * time.Millisecond
-		for {
-			asked := n.now()
-			var names []string
-			err := n.whileTrusted(r, func() (err error) {
-				names, err = n.cloud.Hire(r.ctx, req)
-				return err
-			})
-			code := mphttp.Code(err)
-			if r.ctx.Err() != nil {
-				return
-			}
-			refused := code == http.StatusBadRequest || code == http.StatusServiceUnavailable && noCapacity(err)
-			if err == nil || refused {
-				n.post(func() { n.hired(r, h, req, names, asked, err) })
-				return
-			}
-			n.log.Debug("renting without a result", "request", req.Request, "err", err)
-			select {
-			case <-r.ctx.Done():
-				return
-			case <-time.After(pause):
-			}
-			pause = min(2*pause, 4*time.Second)
-		}
-	}()
-}
-
-// whileTrusted asks the cloud for something if this node leads now. Between a
-// decision and its request any time may have passed, and no token fences a request to
-// the cloud. One that is sent late all the same does no harm: what it rents is adopted
-// by whoever leads then, and what it deletes had no work since the log said so.
-func (n *Node) whileTrusted(r *role, ask func() error) error {
-	if n.now() >= model.Time(r.trust.Load()) {
-		return errDistrusted
-	}
-	return ask()
-}
-
-var errDistrusted = errors.New("controller: the lead is not sure at the moment")
-
-func noCapacity(err error) bool {
-	var p wire.Problem
-	se, ok := err.(*mphttp.StatusError)
-	return ok && wire.Unmarshal(se.Body, &p) == nil && p.Error == "no capacity"
-}
-
-func (n *Node) hired(r *role, h fleet.Hire, req *wire.Hire, names []string, asked model.Time, err error) {
-	if n.role != r {
-		return
-	}
-	if r.pending[h.Offer] -= h.Count; r.pending[h.Offer] <= 0 {
-		delete(r.pending, h.Offer)
-	}
-	n.stats.Rented.Add(len(names))
-	if err != nil || len(names) < h.Count {
-		n.stats.NotRented.Inc()
-		n.fleet.Refused(h.Offer, n.now())
-		n.log.Info("not all could be rented", "type", req.Type, "zone", req.Zone, "spot", req.Spot, "wanted", h.Count, "got", len(names))
-	} else {
-		n.fleet.Has(h.Offer)
-	}
-	for _, name := range names {
-		if n.m.ByName[name] != nil || n.m.Tombs[name] {
-			continue
-		}
-		n.propose(&model.Entry{Kind: model.EntryMachine, Machine: n.m.NextMachine, At: time.Now().UnixMilli(),
-			Info: &model.MachineInfo{Name: name, Type: req.Type, Zone: req.Zone, Spot: req.Spot}})
-		n.m.ByName[name].RentedAt = asked
-	}
-}
-
-// returnMachines asks the cloud to take back what was given up. Its answer is the
-// evidence that the machines and everything on them are gone.
-func (n *Node) returnMachines(r *role) {
-	if r.releasing {
-		return
-	}
-	var names []string
-	for _, mc := range n.m.Order {
-		if mc.Releasing && mc.ReleaseSeq <= r.committed && len(names) < wire.MaxRelease {
-			names = append(names, mc.Info.Name)
-		}
-	}
-	if len(names) == 0 {
-		return
-	}
-	r.releasing = true
-	go func() {
-		err := n.whileTrusted(r, func() error { return n.cloud.Release(r.ctx, names) })
-		if err != nil && r.ctx.Err() == nil {
-			n.log.Debug("returning without a result", "err", err)
-			select {
-			case <-r.ctx.Done():
-			case <-time.After(500 * time.Millisecond):
-			}
-		}
-		n.post(func() {
-			if n.role != r {
-				return
-			}
-			r.releasing = false
-			if err != nil {
-				return
-			}
-			for _, name := range names {
-				if mc := n.m.ByName[name]; mc != nil {
-					n.fleet.Has(fleet.Offer{Type: mc.Type, Zone: mc.Zone, Spot: mc.Spot})
-					n.propose(&model.Entry{Kind: model.EntryGone, Machine: mc.ID})
-					n.dirty = true
-				}
-			}
-		})
-	}()
-}
--- a/internal/controller/node.go
+++ b/internal/controller/node.go
@@ -32,6 +32,7 @@
 	"fieldhill/internal/operate"
 	"fieldhill/internal/oplog"
 	"fieldhill/internal/peer"
+	"fieldhill/internal/rent"
 	"fieldhill/internal/sched"
 	"fieldhill/internal/statesvc"
 	"fieldhill/internal/stats"
@@ -114,23 +115,20 @@
 	sinceSnap   int
 	compact     chan snapshot
 	hires       int
-	pending     map[fleet.Offer]int
+	orders      map[string]rent.Order // rentals that are asked for, by name
+	desk        *rent.Desk
 	cancel      context.CancelFunc
 	ctx         context.Context
 	lastFleet   time.Time
-	lastTypes   time.Time
 	lastSummary time.Time
 	lastLate    time.Time
 	said        map[model.JobID]why.Code // why jobs wait, as logged
-	listing     bool
-	cloudDown   bool // it did not list the machines when last asked
-	lastList    time.Time
-	releasing   bool
-	touched     map[*model.Machine]bool // have something to be told
-	later       map[*model.Machine]bool // will have, once the log has it
-	cutUntil    map[int32]model.Time    // zones that are cut off, or were until recently
-	apart       map[string]*apart       // what was seen of nodes that this one does not reach
-	asking      bool                    // which nodes are apart
+	cloudDown   bool                     // it did not list the machines when last asked
+	touched     map[*model.Machine]bool  // have something to be told
+	later       map[*model.Machine]bool  // will have, once the log has it
+	cutUntil    map[int32]model.Time     // zones that are cut off, or were until recently
+	apart       map[string]*apart        // what was seen of nodes that this one does not reach
+	asking      bool                     // which nodes are apart
 	lastAsked   time.Time
 	heard       model.Time      // when any machine was last heard of
 	unheard     time.Time       // since when hardly any machine is heard of; zero: some are
@@ -682,7 +680,7 @@
 	defer cancel()
 	r := &role{
 		ld: won.Leader, batches: make(chan oplog.Batch, 1), compact: make(chan snapshot, 1),
-		pending: map[fleet.Offer]int{}, cancel: cancel, ctx: ctx, touched: map[*model.Machine]bool{}, later: map[*model.Machine]bool{}, cutUntil: map[int32]model.Time{}, apart: map[string]*apart{}, dropping: map[uint64]bool{}, probes: make(chan struct{}, probesAtOnce), inVain: map[*model.Machine]bool{},
+		orders: map[string]rent.Order{}, cancel: cancel, ctx: ctx, touched: map[*model.Machine]bool{}, later: map[*model.Machine]bool{}, cutUntil: map[int32]model.Time{}, apart: map[string]*apart{}, dropping: map[uint64]bool{}, probes: make(chan struct{}, probesAtOnce), inVain: map[*model.Machine]bool{},
 	}
 	n.trustUntil(r, won.Until)
 	errs := make(chan error, 4)
@@ -785,6 +783,7 @@
 	n.m.BeginTerm(r.ld.Term<<termBits, n.now())
 	n.sched = sched.New(sched.Params{Beta: n.opt.Beta, Threshold: n.opt.Threshold, WaitRounds: n.opt.WaitRounds, Objectives: n.set.Params.Objectives})
 	n.fleet = fleet.New(n.set.Params.Objectives)
+	r.desk = n.newDesk(r)
 	// Machines that worked for the last leader report within this time.
 	r.placeFrom = time.Now().Add(config.Seconds(n.set.Params.Workers.ReportS * 1.25))
 	n.dirty = true
--- /dev/null
+++ b/internal/controller/rent.go
@@ -0,0 +1,153 @@
+package controller
+
+import (
+	"strings"
+	"time"
+
+	"fieldhill/internal/config"
+	"fieldhill/internal/fleet"
+	"fieldhill/internal/model"
+	"fieldhill/internal/rent"
+	"fieldhill/wire"
+)
+
+// This file is the leader's side of what is rented and returned: what it wants of the desk, and
+// what it takes from the outcomes.
+
+// newDesk makes a desk for a leader.
+func (n *Node) newDesk(r *role) *rent.Desk {
+	rps := n.set.Params.Cloud.RPS
+	trusted := func() bool { return n.now() < model.Time(r.trust.Load()) }
+	return rent.New(r.ctx, n.cloud, max(2, int(rps)), max(2*time.Second, config.Seconds(8/rps)), trusted, n.post, func(o rent.Outcome) {
+		if n.role == r {
+			n.cloudSaid(r, &o)
+		}
+	}, n.log)
+}
+
+// atDesk has the desk do what is wanted.
+func (n *Node) atDesk(now time.Time) {
+	r := n.role
+	w := rent.Want{NoTypes: !n.m.TypesKnown()}
+	for _, o := range r.orders {
+		w.Hires = append(w.Hires, o)
+	}
+	for _, mc := range n.m.Order {
+		if mc.Releasing && mc.ReleaseSeq <= r.committed {
+			w.Returns = append(w.Returns, mc.Info.Name)
+		}
+	}
+	r.desk.Turn(now, w)
+}
+
+// rentals counts what is asked for and not answered, by offer.
+func (n *Node) rentals() map[fleet.Offer]int {
+	sum := map[fleet.Offer]int{}
+	for _, o := range n.role.orders {
+		sum[n.offerOf(&o)] += o.Count
+	}
+	return sum
+}
+
+func (n *Node) offerOf(o *rent.Order) fleet.Offer {
+	return fleet.Offer{Type: n.m.TypeNames.ID(o.Type), Zone: n.m.Zones.ID(o.Zone), Spot: o.Spot}
+}
+
+// hire asks for machines.
+func (n *Node) hire(r *role, h fleet.Hire) {
+	r.hires++
+	o := rent.Order{Name: fleet.Name(r.ld.Term, r.hires), Type: n.m.TypeNames.Name(h.Type), Zone: n.m.Zones.Name(h.Zone), Spot: h.Spot, Count: min(h.Count, wire.MaxHire)}
+	n.log.Info("renting", "type", o.Type, "zone", o.Zone, "spot", o.Spot, "count", o.Count, "request", o.Name, "why", h.Why)
+	r.orders[o.Name] = o
+	n.fleet.Pending[h.Offer] += o.Count
+}
+
+// cloudSaid takes in what came of a request to the cloud.
+func (n *Node) cloudSaid(r *role, o *rent.Outcome) {
+	switch o.Kind {
+	case rent.Hired:
+		n.hired(r, o)
+	case rent.Returned:
+		for _, name := range o.Names {
+			if mc := n.m.ByName[name]; mc != nil && mc.Releasing {
+				n.fleet.Has(fleet.Offer{Type: mc.Type, Zone: mc.Zone, Spot: mc.Spot})
+				n.propose(&model.Entry{Kind: model.EntryGone, Machine: mc.ID})
+				n.dirty = true
+			}
+		}
+	case rent.Listed:
+		r.cloudDown = false
+		for i := range o.Rows {
+			n.listed(&o.Rows[i])
+		}
+	case rent.Types:
+		for i := range o.Offers {
+			n.learnType(&o.Offers[i])
+		}
+	case rent.Away:
+		r.cloudDown = true
+	}
+}
+
+func (n *Node) hired(r *role, out *rent.Outcome) {
+	o := &out.Order
+	if _, open := r.orders[o.Name]; !open {
+		return // told before
+	}
+	delete(r.orders, o.Name)
+	offer := n.offerOf(o)
+	n.stats.Rented.Add(len(out.Names))
+	if len(out.Names) < o.Count {
+		n.stats.NotRented.Inc()
+		n.fleet.Refused(offer, n.now())
+		n.log.Info("not all could be rented", "type", o.Type, "zone", o.Zone, "spot", o.Spot, "wanted", o.Count, "got", len(out.Names))
+	} else {
+		n.fleet.Has(offer)
+	}
+	for _, name := range out.Names {
+		if n.m.ByName[name] != nil || n.m.Tombs[name] {
+			continue
+		}
+		n.propose(&model.Entry{Kind: model.EntryMachine, Machine: n.m.NextMachine, At: time.Now().UnixMilli(),
+			Info: &model.MachineInfo{Name: name, Type: o.Type, Zone: o.Zone, Spot: o.Spot}})
+		n.m.ByName[name].RentedAt = n.now() - out.Ago
+	}
+}
+
+// learnType logs a type that is new or has changed in more than its price.
+func (n *Node) learnType(t *wire.MachineType) {
+	if id, ok := n.m.TypeNames.Find(t.Name); ok && int(id) < len(n.m.Types) && n.m.Types[id].Known {
+		old := &n.m.Types[id].MachineType
+		a, b := *old, *t
+		a.Price, a.SpotPrice, a.Zones = 0, 0, nil
+		b.Price, b.SpotPrice, b.Zones = 0, 0, nil
+		if a.CPUs == b.CPUs && a.GPUs == b.GPUs && a.MemoryGB == b.MemoryGB && a.CacheGB == b.CacheGB &&
+			a.FetchGBPerS == b.FetchGBPerS && a.BootS == b.BootS && strings.Join(old.Zones, " ") == strings.Join(t.Zones, " ") {
+			old.Price, old.SpotPrice = t.Price, t.SpotPrice
+			return
+		}
+	}
+	n.propose(&model.Entry{Kind: model.EntryType, Type: t})
+	n.dirty = true
+}
+
+// listed takes in a row of the machine list. The list lags, so only three things
+// are taken from it: machines nobody knew, machines that failed, and addresses.
+func (n *Node) listed(l *wire.ListedMachine) {
+	if n.m.Tombs[l.Name] {
+		return
+	}
+	mc := n.m.ByName[l.Name]
+	if mc == nil {
+		n.log.Info("machine listed", "machine", l.Name, "type", l.Type, "zone", l.Zone, "state", l.State)
+		n.propose(&model.Entry{Kind: model.EntryMachine, Machine: n.m.NextMachine, At: time.Now().UnixMilli() - int64(l.AgeS*1000),
+			Info: &model.MachineInfo{Name: l.Name, Addr: l.Addr, Type: l.Type, Zone: l.Zone, Spot: l.Spot}})
+		mc = n.m.ByName[l.Name]
+	}
+	if mc.Info.Addr == "" {
+		n.learnAddr(mc, l.Addr)
+	}
+	if l.State == wire.MachineFailed {
+		n.giveUp(mc, "the cloud lists it as failed")
+	}
+}
