Notice a log's end behind a compaction: accepted jobs were called unknown

A follower had stood still for longer than the leader took to compact the log; behind its number there were no batches any more, it took that for the log's end and answered from its old replica. A node elected after such a pause would have led with one.

--- a/internal/oplog/oplog.go
+++ b/internal/oplog/oplog.go
@@ -12,7 +12,7 @@
 // A new leader reads the log after its own election, when no older copy can
 // pass (a) any more, so what it reads is final.
 //
-// After compaction the batch's key is gone again, so a copy that is applied
+// After compaction the batch's key is gone again (but for the last one that the snapshot covers), so a copy that is applied
 // very late could bring it back; its number is below the snapshot's and nobody
 // reads it. The key that names the snapshot is written under a condition on its
 // own version, so it never goes back.
@@ -248,7 +248,8 @@
 }
 
 // Since reads the batches behind a number: all of them that were committed
-// before the call.
+// before the call. If they don't begin with the next number, what lies between is in the snapshot, and the
+// log must be loaded anew.
 func (l *Log) Since(ctx context.Context, seq uint64) ([]Batch, error) {
 	var out []Batch
 	after := keyLog(seq)
@@ -432,7 +433,10 @@
 		return err
 	}
 	var drop []string
-	for s := old.Seq + 1; s <= seq; s++ {
+	// The last batch that the snapshot covers stays until the next one: who reads the log's end from an older number finds
+	// it there, and that what lies between is gone. A node that woke after a compaction found nothing behind
+	// its own number, took that for the end, and called accepted jobs unknown.
+	for s := max(1, old.Seq); s < seq; s++ {
 		drop = append(drop, keyLog(s))
 	}
 	for p := range old.Count {
