--- a/internal/controller/duties_test.go
+++ b/internal/controller/duties_test.go
@@ -1,6 +1,7 @@
 package controller
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -167,3 +168,42 @@
 		waitFor(t, w, "req-000002", wire.JobRunning, 40*time.Second)
 	})
 }
+
+// TestNextAct measures how long it takes from the moment at which who deals with the cloud stands still to the next rental:
+// with the duty held by itself, and with the leader holding all. It is played with -hard.
+func TestNextAct(t *testing.T) {
+	if !*hard {
+		t.Skip("a measurement: -hard")
+	}
+	for _, spread := range []bool{false, true} {
+		var took []time.Duration
+		for seed := uint64(1); seed <= 20; seed++ {
+			oneByOne = spread
+			inWorld(t, seed, func(w *standin.World) {
+				time.Sleep(45*time.Second + time.Duration(seed)*130*time.Millisecond)
+				holder := leaderOf()
+				if spread {
+					holder = holderOf(duty.Rent)
+				}
+				freeze(w, holder, 40*time.Second)
+				began, rented := time.Now(), w.Cloud.Rented()
+				job := web(3, 16, "large") // by a node that does not stand still
+				body, _ := wire.Marshal(job)
+				w.Referee.Know(job)
+				w.CallAt((holder+1)%3, "submit", job.ID, body)
+				for w.Cloud.Rented() == rented && time.Since(began) < 60*time.Second {
+					time.Sleep(20 * time.Millisecond)
+				}
+				took = append(took, time.Since(began))
+				writes, _ := w.State.Load()
+				time.Sleep(time.Minute)
+				if after, _ := w.State.Load(); seed == 20 {
+					t.Logf("spread %v: %d writes in a minute without work", spread, after-writes)
+				}
+			})
+		}
+		oneByOne = false
+		slices.Sort(took)
+		t.Logf("spread %v: next rental after %v in the middle, %v at worst", spread, took[len(took)/2], took[len(took)-1])
+	}
+}
--- a/internal/controller/world_test.go
+++ b/internal/controller/world_test.go
@@ -622,6 +622,7 @@
 var (
 	days = flag.Uint64("days", 8, "how many random days to play")
 	from = flag.Uint64("from", 0, "the first one")
+	each = flag.Bool("duties", false, "hold duties one by one on every random day, not on two of four")
 )
 
 // TestRandomDays throws every failure at the service, at random but with fixed
@@ -632,7 +633,7 @@
 	defer func() { compactEvery, oneByOne = 0, false }()
 	for seed := *from; seed < *from+*days; seed++ {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
-			compactEvery, oneByOne = int(seed%2)*10, seed%4 >= 2
+			compactEvery, oneByOne = int(seed%2)*10, seed%4 >= 2 || *each
 			inWorld(t, seed, func(w *standin.World) { randomDay(t, w, rand.New(rand.NewPCG(seed, 9))) })
 		})
 	}
