--- a/internal/controller/duties.go
+++ b/internal/controller/duties.go
@@ -452,3 +452,27 @@
 		})
 	}()
 }
+
+// tellDuties is how the duties stand, for operators.
+func (n *Node) tellDuties() *wire.Duties {
+	out := &wire.Duties{Node: n.set.Node, Spread: n.spread(), Duties: []wire.Duty{}, Rentals: []string{}}
+	if n.leader != nil {
+		out.Leader = n.leader.Node
+	}
+	for _, i := range n.m.Intents {
+		out.Rentals = append(out.Rentals, i.Name)
+	}
+	if n.duties == nil {
+		return out
+	}
+	now := n.now()
+	for _, k := range n.duties.keepers {
+		h := k.Holder()
+		d := wire.Duty{Duty: k.Name.String(), Holder: h.Node, Term: h.Term, ForS: (now - h.Since).Seconds(), Stuck: k.Stuck(), Why: k.Why()}
+		if k.Term() != 0 {
+			d.GotOnS = (now - k.Progress()).Seconds()
+		}
+		out.Duties = append(out.Duties, d)
+	}
+	return out
+}
--- a/internal/controller/duties_test.go
+++ b/internal/controller/duties_test.go
@@ -72,6 +72,16 @@
 		waitFor(t, w, "req-000003", wire.JobRunning, 30*time.Second)
 		time.Sleep(60 * time.Second)
 		known(t, w)
+		// Whoever is asked tells the same of who holds what.
+		for i := range 3 {
+			var d wire.Duties
+			if _, err := askOp(w, i, wire.PathOpDuties, &d); err != nil || !d.Spread || len(d.Duties) != 2 || len(d.Rentals) != 0 {
+				t.Fatalf("%d tells %+v, %v", i, d, err)
+			}
+			if at := holderOf(duty.Rent); at >= 0 && d.Duties[0].Holder != standin.NodeName(at) {
+				t.Errorf("%d takes %s for who deals with the cloud, it is %d", i, d.Duties[0].Holder, at)
+			}
+		}
 	})
 }
 
--- a/internal/controller/node.go
+++ b/internal/controller/node.go
@@ -25,6 +25,7 @@
 	"fieldhill/internal/cloud"
 	"fieldhill/internal/codec"
 	"fieldhill/internal/config"
+	"fieldhill/internal/duty"
 	"fieldhill/internal/fleet"
 	"fieldhill/internal/host"
 	"fieldhill/internal/lead"
@@ -214,33 +215,33 @@
 	n.ctx = ctx
 	var wg sync.WaitGroup
 	defer wg.Wait()
-	duty := func(name string, f func() error) {
+	run := func(name string, f func() error) {
 		wg.Go(func() {
 			if err := f(); err != nil && ctx.Err() == nil {
 				cancel(fmt.Errorf("%s: %w", name, err))
 			}
 		})
 	}
-	duty("loop", func() error { defer close(n.ended); n.loop(ctx); return nil })
-	duty("storage", func() error { n.storage(ctx); return nil })
-	duty("peers", func() error { return peer.Serve(ctx, pln, n.answerPeer, n.log) })
+	run("loop", func() error { defer close(n.ended); n.loop(ctx); return nil })
+	run("storage", func() error { n.storage(ctx); return nil })
+	run("peers", func() error { return peer.Serve(ctx, pln, n.answerPeer, n.log) })
 	if n.duties != nil {
-		duty("duties", func() error { n.watchDuties(ctx); return nil })
+		run("duties", func() error { n.watchDuties(ctx); return nil })
 	} else {
-		duty("duties", func() error { n.leaveDuties(ctx); return nil })
+		run("duties", func() error { n.leaveDuties(ctx); return nil })
 	}
 	for _, l := range n.links {
-		duty("link", func() error { l.Run(ctx); return nil })
+		run("link", func() error { l.Run(ctx); return nil })
 	}
 	// Sockets: six parts in ten for who comes, a third for commands to workers, the rest for the
 	// state service, the cloud, the other controllers and what is just closing.
 	crowd := &api.Crowd{Most: max(32, n.set.Params.Limits.MaxSockets*6/10)}
-	duty("api", func() error { return api.Serve(ctx, ln, crowd, api.Handler(n, n.log, crowd, n.stats.Answered), n.log) })
+	run("api", func() error { return api.Serve(ctx, ln, crowd, api.Handler(n, n.log, crowd, n.stats.Answered), n.log) })
 	if mln != nil {
-		duty("metrics", func() error { return api.Serve(ctx, mln, &api.Crowd{Most: metricsConns}, n.stats.Page(n.look), n.log) })
+		run("metrics", func() error { return api.Serve(ctx, mln, &api.Crowd{Most: metricsConns}, n.stats.Page(n.look), n.log) })
 	}
 	if oln != nil {
-		duty("operate", func() error { return operate.Serve(ctx, oln, n, n.log) })
+		run("operate", func() error { return operate.Serve(ctx, oln, n, n.log) })
 	}
 	n.log.Info("started", "node", n.set.Node, "zone", n.set.Zone, "bind", n.set.Bind, "pid", os.Getpid())
 	<-ctx.Done()
@@ -277,6 +278,10 @@
 	if n.leader != nil {
 		v.Term = n.leader.Term
 	}
+	v.Rentals = len(n.m.Intents)
+	if d := n.duties; d != nil {
+		v.Rents, v.Cleans = d.keepers[duty.Rent].Trusted(n.now()), d.keepers[duty.Clean].Trusted(n.now())
+	}
 	v.WorstClass, v.WorstTeam = 1, 1
 	if n.role != nil {
 		v.WorstClass, v.OwedClasses = n.sched.WorstClass()
--- a/internal/controller/why.go
+++ b/internal/controller/why.go
@@ -59,6 +59,11 @@
 	return opNoLeader
 }
 
+// Duties tells who holds which duty, as this node knows it.
+func (n *Node) Duties(ctx context.Context) *peer.Reply {
+	return n.opInLoop(ctx, func() *peer.Reply { return operate.Encode(http.StatusOK, n.tellDuties()) })
+}
+
 // answerOperator answers another controller that was asked by an operator.
 func (n *Node) answerOperator(ctx context.Context, c *peer.Call) *peer.Reply {
 	if leads, _ := n.standing(); !leads {
--- a/internal/operate/operate.go
+++ b/internal/operate/operate.go
@@ -29,6 +29,7 @@
 type Service interface {
 	Why(ctx context.Context, id string) *peer.Reply
 	Queue(ctx context.Context, f Filter) *peer.Reply
+	Duties(ctx context.Context) *peer.Reply
 }
 
 // Conns bounds the connections to the operators' address, and with them the questions at once.
@@ -74,6 +75,9 @@
 		}
 		write(w, s.Queue(r.Context(), f))
 	})
+	mux.HandleFunc("GET "+wire.PathOpDuties, func(w http.ResponseWriter, r *http.Request) {
+		write(w, s.Duties(r.Context()))
+	})
 	return mux
 }
 
--- a/internal/operate/operate_test.go
+++ b/internal/operate/operate_test.go
@@ -28,6 +28,10 @@
 	asked []any
 }
 
+func (s *said) Duties(context.Context) *peer.Reply {
+	return Encode(http.StatusOK, &wire.Duties{Node: "n", Leader: "m", Spread: true, Duties: []wire.Duty{{Duty: "rent", Holder: "n", Term: 7, ForS: 3}}, Rentals: []string{"fh-1-2"}})
+}
+
 func (s *said) Why(_ context.Context, id string) *peer.Reply {
 	s.asked = append(s.asked, id)
 	return Encode(http.StatusOK, s.why)
@@ -58,6 +62,7 @@
 	}{
 		{"why.json", wire.PathOpJobs + "/req-000412" + wire.WhySuffix, &wire.Explanation{}},
 		{"queue.json", wire.PathOpQueue, &wire.Queue{}},
+		{"duties.json", wire.PathOpDuties, &wire.Duties{}},
 	} {
 		// Newer versions may add fields, which clients ignore.
 		b, err := json.MarshalIndent((&generate.Reflector{AllowAdditionalProperties: true, Anonymous: true}).Reflect(c.of), "", "  ")
--- a/internal/stats/stats.go
+++ b/internal/stats/stats.go
@@ -41,6 +41,9 @@
 	// How well the worst served class and team are, from 0 to 1, and how many are owed (sched's floor).
 	WorstClass, WorstTeam  float64
 	OwedClasses, OwedTeams int
+	// Whether this node deals with the cloud and cleans up, and how many rentals are under way.
+	Rents, Cleans bool
+	Rentals       int
 }
 
 // bounds are the upper ends of the histograms' buckets in seconds.
@@ -68,12 +71,10 @@
 	}
 	s.view.Store(&View{})
 	for name, f := range map[string]func(v *View) float64{
-		"fieldhill_leads": func(v *View) float64 {
-			if v.Leads {
-				return 1
-			}
-			return 0
-		},
+		"fieldhill_leads":                        func(v *View) float64 { return one(v.Leads) },
+		`fieldhill_holds{duty="rent"}`:           func(v *View) float64 { return one(v.Rents) },
+		`fieldhill_holds{duty="clean"}`:          func(v *View) float64 { return one(v.Cleans) },
+		"fieldhill_rentals_open":                 func(v *View) float64 { return float64(v.Rentals) },
 		"fieldhill_term":                         func(v *View) float64 { return float64(v.Term) },
 		"fieldhill_log_applied":                  func(v *View) float64 { return float64(v.Applied) },
 		"fieldhill_jobs":                         func(v *View) float64 { return float64(v.Jobs) },
@@ -94,6 +95,13 @@
 	return s
 }
 
+func one(yes bool) float64 {
+	if yes {
+		return 1
+	}
+	return 0
+}
+
 // Answered counts the answer to a request of a kind that New was told of.
 func (s *Stats) Answered(kind string, status int, took time.Duration) {
 	r := s.requests[kind]
--- a/wire/why.go
+++ b/wire/why.go
@@ -3,11 +3,32 @@
 // Paths on the operators' address (--operate). They are this service's own, not the
 // platform's, and speak JSON; docs/schema has their schemas.
 const (
-	PathOpJobs  = "/v1/jobs" // with /{id}/why behind it
-	WhySuffix   = "/why"
-	PathOpQueue = "/v1/queue" // ?team=&class=&reason=&most=
+	PathOpJobs   = "/v1/jobs" // with /{id}/why behind it
+	WhySuffix    = "/why"
+	PathOpQueue  = "/v1/queue" // ?team=&class=&reason=&most=
+	PathOpDuties = "/v1/duties"
 )
 
+// Duties tells who does what only one controller may do, as the one that was asked knows it.
+type Duties struct {
+	Node    string   `json:"node" jsonschema:"description=the controller that tells"`
+	Leader  string   `json:"leader" jsonschema:"description=who places; empty if nobody is known to"`
+	Spread  bool     `json:"spread" jsonschema:"description=duties are held one by one; else the leader does all of it"`
+	Duties  []Duty   `json:"duties"`
+	Rentals []string `json:"rentals" jsonschema:"description=names of rentals whose fate is not known"`
+}
+
+// Duty is one of them.
+type Duty struct {
+	Duty   string  `json:"duty" jsonschema:"enum=rent,enum=clean"`
+	Holder string  `json:"holder" jsonschema:"description=empty if nobody holds it"`
+	Term   uint64  `json:"term"`
+	ForS   float64 `json:"for_s" jsonschema:"description=seconds since this controller saw it so"`
+	GotOnS float64 `json:"got_on_s" jsonschema:"description=seconds since it last got on, told by its holder alone; else 0"`
+	Stuck  int     `json:"stuck" jsonschema:"description=holders in a row that got nowhere"`
+	Why    string  `json:"why" jsonschema:"description=why the controller that tells last let it go"`
+}
+
 // MostQueued is how many jobs an answer about the queue lists at most.
 const MostQueued = 500
 
