Hear a renewal's answer also when the hold has ended, and tidy the duties

A keeper asks for one thing at a time and waits for its answer. If another word of the key ended the hold while a renewal was under way, the answer was passed over, and the node waited for it for good: it never took that duty again until it was started anew. The answer is always heard now; there is only one that it can be of (TestLostWhileRenewing). With duties on only, which is off by default.

Tidied, behaviour unchanged: one pause for the log's and the duties' watch instead of two; a field and a method that nothing used.

--- a/internal/controller/duties.go
+++ b/internal/controller/duties.go
@@ -46,7 +46,6 @@
 // cleaner compacts the log while this node has the duty.
 type cleaner struct {
 	ctx     context.Context
-	log     *oplog.Log
 	c       *oplog.Compactor
 	inForce uint64
 	known   bool // inForce is
@@ -79,22 +78,16 @@
 
 // watchDuties reads the keys of duties and follows them, until the context ends.
 func (n *Node) watchDuties(ctx context.Context) {
-	pause := func(t time.Duration) {
-		select {
-		case <-ctx.Done():
-		case <-time.After(t):
-		}
-	}
 	for ctx.Err() == nil {
 		if err := n.oplog.TakePart(ctx, n.set.Node, true); err == nil {
 			break
 		}
-		pause(time.Second)
+		pause(ctx, time.Second)
 	}
 	for ctx.Err() == nil {
 		list, rev, err := n.oplog.Duties(ctx)
 		if err != nil {
-			pause(500 * time.Millisecond)
+			pause(ctx, 500*time.Millisecond)
 			continue
 		}
 		n.ask(func() { n.seeDuties(list, rev, true) })
@@ -102,7 +95,7 @@
 			list, next, err := n.oplog.FollowDuties(ctx, rev, dutyHold)
 			if err != nil {
 				n.log.Debug("watch of duties failed", "err", err)
-				pause(500 * time.Millisecond)
+				pause(ctx, 500*time.Millisecond)
 				break
 			}
 			rev = next
@@ -232,14 +225,12 @@
 }
 
 func (n *Node) renewDuty(k *duty.Keeper) {
-	lease, term := k.Lease(), k.Term()
+	lease := k.Lease()
 	go func() {
 		sent := n.now()
 		err := n.state.Renew(n.ctx, lease, 1500*time.Millisecond)
 		n.post(func() {
-			if k.Term() != term {
-				return // Took or Left came between: they have ended the asking
-			}
+			// Also if the hold has ended meanwhile: until it has its answer the keeper asks for nothing else.
 			k.Renewed(sent, err == nil, mphttp.Code(err) == http.StatusNotFound)
 			n.beginOrEnd(k)
 		})
@@ -401,8 +392,8 @@
 
 // newCleaner begins to clean up under a term.
 func (n *Node) newCleaner(ctx context.Context, k *duty.Keeper, term uint64) *cleaner {
-	c := &cleaner{ctx: ctx, log: n.oplog.Beside(n.set.Params.State.WriteRPS, cleanShare, n.log)}
-	c.c = c.log.Compactor(oplog.Fence{Key: oplog.DutyKey(k.Name.String()), Version: term, Term: cleanTerm + term})
+	c := &cleaner{ctx: ctx, busy: true}
+	c.c = n.oplog.Beside(n.set.Params.State.WriteRPS, cleanShare, n.log).Compactor(oplog.Fence{Key: oplog.DutyKey(k.Name.String()), Version: term, Term: cleanTerm + term})
 	c.c.Moved = func() {
 		n.post(func() {
 			if k.Term() == term {
@@ -410,7 +401,6 @@
 			}
 		})
 	}
-	c.busy = true
 	go func() {
 		seq, err := c.c.InForce(ctx)
 		n.post(func() {
--- a/internal/controller/node.go
+++ b/internal/controller/node.go
@@ -546,14 +546,16 @@
 // snapEvery is after how many batches the log is compacted.
 const snapEvery = 500
 
+// pause waits for a while, or until the context ends.
+func pause(ctx context.Context, d time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(d):
+	}
+}
+
 // storage keeps the replica up to date, and leads when elected.
 func (n *Node) storage(ctx context.Context) {
-	pause := func(d time.Duration) {
-		select {
-		case <-ctx.Done():
-		case <-time.After(d):
-		}
-	}
 	failing := false
 	var abstain time.Time // this node does not stand for election until then
 	for ctx.Err() == nil {
@@ -563,7 +565,7 @@
 				n.log.Warn("can't read the log, trying on", "err", err)
 			}
 			failing = true
-			pause(300 * time.Millisecond)
+			pause(ctx, 300*time.Millisecond)
 			continue
 		}
 		failing = false
@@ -584,14 +586,14 @@
 					break // read everything anew
 				}
 				if !errors.Is(err, lead.ErrTaken) {
-					pause(200 * time.Millisecond)
+					pause(ctx, 200*time.Millisecond)
 				}
 			}
 			sent := time.Now()
 			t, err := n.oplog.Follow(ctx, rev, followFor)
 			if err != nil {
 				n.log.Debug("watch failed", "err", err)
-				pause(250 * time.Millisecond)
+				pause(ctx, 250*time.Millisecond)
 				break
 			}
 			rev = t.Revision
@@ -600,7 +602,7 @@
 			if !ok {
 				break
 			}
-			pause(100 * time.Millisecond) // news come together, not one by one
+			pause(ctx, 100*time.Millisecond) // news come together, not one by one
 		}
 	}
 }
--- a/internal/duty/duty_test.go
+++ b/internal/duty/duty_test.go
@@ -92,3 +92,22 @@
 		t.Error("a late answer of a key that is gone counts")
 	}
 }
+
+// TestLostWhileRenewing: a hold that ends while its renewal is under way leaves the node able to take the duty again. The
+// answer used to be passed over, and the node waited for it for good.
+func TestLostWhileRenewing(t *testing.T) {
+	k, view := New(Rent, "a", Usual(Rent)), &View{Ready: true, Live: []string{"a"}}
+	k.Seen(Holder{Term: 7}, 0)
+	k.Took(0, 0, 1, 9)
+	if do := k.Tick(2*time.Second, view); do != Renew {
+		t.Fatalf("asked for %d, not a renewal", do)
+	}
+	k.Seen(Holder{Term: 12}, 3*time.Second) // the key is gone
+	if do := k.Tick(4*time.Second, view); do != Nothing {
+		t.Errorf("asked for %d while an answer is awaited", do)
+	}
+	k.Renewed(2*time.Second, false, true)
+	if do := k.Tick(5*time.Second, view); do != Take {
+		t.Errorf("asked for %d, not for the free key", do)
+	}
+}
--- a/internal/rent/rent.go
+++ b/internal/rent/rent.go
@@ -137,9 +137,6 @@
 	d.give(now, w.Returns)
 }
 
-// Idle tells whether nothing is under way.
-func (d *Desk) Idle() bool { return d.under == 0 && !d.returning }
-
 func (d *Desk) hire(o Order, h *hire) {
 	req := &wire.Hire{Request: o.Name, Type: o.Type, Zone: o.Zone, Spot: o.Spot, Count: o.Count}
 	go func() {
