--- /dev/null
+++ b/internal/controller/hearing_test.go
@@ -0,0 +1,262 @@
+package controller
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"fieldhill/internal/standin"
+	"fieldhill/wire"
+)
+
+// These tests are of what a worker's word proves, and of machines that are heard and do not hear.
+
+// running counts the replicas of services 1 to n that are up.
+func upOf(w *standin.World, n int) (up int) {
+	for k := 1; k <= n; k++ {
+		up += w.Referee.Running(wire.JobID(uint64(k)))
+	}
+	return up
+}
+
+// wholeAgain waits until so many services of one replica run, and tells how long that took, at most a given time.
+func wholeAgain(w *standin.World, services int, most time.Duration) time.Duration {
+	began := time.Now()
+	for upOf(w, services) < services && time.Since(began) < most {
+		time.Sleep(100 * time.Millisecond)
+	}
+	return time.Since(began)
+}
+
+// TestReborn: a machine whose worker is back within a moment under the same name holds nothing any more, whether its numbers go on
+// or begin at 1, also beside a takeover and when it is back again and again. One whose numbers began at 1 used to be taken for a late
+// copy of its own past: it was answered and given nothing, and its replicas stayed down for good.
+func TestReborn(t *testing.T) {
+	for _, afresh := range []bool{false, true} {
+		for _, times := range []int{1, 3} {
+			for _, takeover := range []time.Duration{-1, 3300 * time.Millisecond} {
+				t.Run(fmt.Sprint(afresh, times, takeover), func(t *testing.T) {
+					inWorld(t, 31, func(w *standin.World) {
+						settle(w, 5)
+						if takeover >= 0 {
+							w.Restart(leaderOf(), 200*time.Millisecond)
+							time.Sleep(takeover)
+						}
+						for _, wk := range w.Cloud.Up() {
+							if w.Referee.Holds(wk.Name) {
+								for range times {
+									wk.Reboot(afresh)
+									time.Sleep(300 * time.Millisecond)
+								}
+							}
+						}
+						if d := wholeAgain(w, 5, time.Minute); d > 12*time.Second {
+							t.Errorf("%d of 5 services run %v after the machines were back", upOf(w, 5), d)
+						}
+						time.Sleep(30 * time.Second)
+						if k := upOf(w, 5); k != 5 {
+							t.Errorf("%d of 5 services run half a minute later", k)
+						}
+					})
+				})
+			}
+		}
+	}
+}
+
+// TestCopyIsNoSign: copies of what machines said before they were gone, or cut off, prove nothing about now: neither for the leader that
+// heard the first of them, nor for the next one, to whom all numbers are new.
+func TestCopyIsNoSign(t *testing.T) {
+	flood := func(w *standin.World, reps []*wire.Report, until func() bool) {
+		for !until() {
+			for _, r := range reps {
+				for i := range 3 {
+					go w.SendCopy(w.Users(i), r)
+				}
+			}
+			time.Sleep(2 * time.Second)
+		}
+	}
+	for _, takeover := range []bool{false, true} {
+		t.Run(fmt.Sprint("gone, takeover ", takeover), func(t *testing.T) {
+			inWorld(t, 32, func(w *standin.World) {
+				settle(w, 5)
+				var reps []*wire.Report
+				for _, wk := range w.Cloud.Up() {
+					if w.Referee.Holds(wk.Name) && len(reps) < 2 {
+						reps = append(reps, wk.Sent())
+						w.Cloud.Take(wk.Name)
+					}
+				}
+				if takeover {
+					w.Restart(leaderOf(), 200*time.Millisecond)
+				}
+				began := time.Now()
+				go flood(w, reps, func() bool { return time.Since(began) > 2*time.Minute })
+				if d := wholeAgain(w, 5, time.Minute); d > 25*time.Second {
+					t.Errorf("%d of 5 services run %v after two machines were lost", upOf(w, 5), d)
+				}
+				time.Sleep(time.Until(began.Add(100 * time.Second)))
+				n := nodeAt(leaderOf())
+				n.ask(func() {
+					for _, r := range reps {
+						if n.m.ByName[r.Machine] != nil {
+							t.Errorf("%s, which is gone, counts as a machine", r.Machine)
+						}
+					}
+				})
+				time.Sleep(30 * time.Second)
+			})
+		})
+	}
+	t.Run("cut off", func(t *testing.T) {
+		inWorld(t, 33, func(w *standin.World) {
+			settle(w, 6)
+			var reps []*wire.Report
+			for _, wk := range w.Cloud.Up() {
+				if wk.Zone == "b" {
+					reps = append(reps, wk.Sent())
+				}
+			}
+			cutZone(w, true)
+			w.CutWorkers("b", 1, true)
+			w.CutState(1, true)
+			began := time.Now()
+			go flood(w, reps, func() bool { return time.Since(began) > 2*time.Minute })
+			time.Sleep(20 * time.Second)
+			// Silence, the bound of 25 s less its margin, a lease of 24 s and a start: as without copies.
+			if d := wholeAgain(w, 6, 2*time.Minute); d > 50*time.Second {
+				t.Errorf("%d of 6 services run %v after the zone was cut off", upOf(w, 6), d+20*time.Second)
+			}
+			cutZone(w, false)
+			w.CutWorkers("b", 1, false)
+			w.CutState(1, false)
+			time.Sleep(time.Until(began.Add(3 * time.Minute)))
+		})
+	})
+	t.Run("never there", func(t *testing.T) {
+		inWorld(t, 34, func(w *standin.World) {
+			settle(w, 2)
+			rep := *w.Cloud.Up()[0].Sent()
+			rep.Machine, rep.Addr, rep.Tasks = "host-900000", "10.9.0.1:90", nil
+			for i := range 3 {
+				w.SendCopy(w.Users(i), &rep)
+			}
+			time.Sleep(time.Second)
+			n := nodeAt(leaderOf())
+			n.ask(func() {
+				if n.m.ByName[rep.Machine] != nil {
+					t.Error("a machine that nobody can ask counts as one")
+				}
+			})
+		})
+	})
+}
+
+// TestDeaf: a machine whose reports arrive while nothing reaches it gets no work, and what it held runs elsewhere when its own
+// lease has run out, or it was returned; one machine, a zone, and beside a takeover. Jobs cancelled meanwhile end in time, which the referee sees.
+func TestDeaf(t *testing.T) {
+	for _, c := range []struct {
+		name           string
+		zone, takeover bool
+		within         time.Duration
+	}{
+		{"one", false, false, 35 * time.Second},
+		{"one and a takeover", false, true, 40 * time.Second},
+		{"a zone", true, false, 45 * time.Second},
+		{"a zone and a takeover", true, true, 45 * time.Second},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			inWorld(t, 35, func(w *standin.World) {
+				settle(w, 5) // the other zone has four such machines
+				var deaf []*standin.Worker
+				for _, wk := range w.Cloud.Up() {
+					if c.zone && wk.Zone == "b" || !c.zone && len(deaf) == 0 && w.Referee.Holds(wk.Name) {
+						wk.Deafen(true)
+						deaf = append(deaf, wk)
+					}
+				}
+				w.Cancel(wire.JobID(5))
+				if c.takeover {
+					w.Restart(leaderOf(), 200*time.Millisecond)
+				}
+				time.Sleep(c.within)
+				served := func() (n int) {
+					for k := 1; k <= 4; k++ {
+						if w.Referee.Running(wire.JobID(uint64(k))) == 1 {
+							n++
+						}
+					}
+					return n
+				}
+				if k := served(); k != 4 {
+					t.Errorf("%d of 4 services run %v after %d machines ceased to hear", k, c.within, len(deaf))
+				}
+				// New work finds a machine that hears.
+				for n := 10; n < 14; n++ {
+					began := time.Now()
+					j := web(n, 0.5, "small")
+					w.Submit(j)
+					waitToRun(w, j.ID, began)
+					if d := time.Since(began); d > 15*time.Second {
+						t.Errorf("a new service ran after %v", d)
+					}
+				}
+				for _, wk := range deaf {
+					wk.Deafen(false)
+				}
+				time.Sleep(40 * time.Second)
+				if k := served(); k != 4 {
+					t.Errorf("%d of 4 services run at the end", k)
+				}
+			})
+		})
+	}
+}
+
+// TestIsland: a controller that has lost the state service and the other controllers, but not its workers, is not offered to users,
+// and does not keep from the next leader the machines whose workers it still hears.
+func TestIsland(t *testing.T) {
+	for _, d := range []time.Duration{5 * time.Second, 70 * time.Second} {
+		t.Run(fmt.Sprint(d), func(t *testing.T) {
+			inWorld(t, 36, func(w *standin.World) {
+				settle(w, 5)
+				for i := range 3 { // one of them leads
+					starts := w.Referee.Starts()
+					w.Island(i, true)
+					began := time.Now()
+					time.Sleep(4 * time.Second)
+					j := web(10+i, 0.5, "small")
+					w.Referee.Know(j)
+					b, _ := wire.Marshal(j)
+					for k := 1; ; k++ {
+						if code, _ := w.CallAt((i+k)%3, "submit", j.ID, b); code == 201 || code == 200 || time.Since(began) > 30*time.Second {
+							break
+						}
+						time.Sleep(300 * time.Millisecond)
+					}
+					waitToRun(w, j.ID, began)
+					if k := time.Since(began); k > 4*time.Second+4*time.Second {
+						t.Errorf("node %d: a new service ran %v after the cut", i, k)
+					}
+					if d > 10*time.Second {
+						time.Sleep(time.Until(began.Add(10 * time.Second)))
+						if n := nodeAt(i); n.Ready() {
+							t.Errorf("node %d is offered to users", i)
+						}
+					}
+					w.Cancel(j.ID)
+					time.Sleep(time.Until(began.Add(d)))
+					w.Island(i, false)
+					time.Sleep(20 * time.Second)
+					if k := w.Referee.Starts() - starts - 1; k != 0 {
+						t.Errorf("node %d: %d tasks were started anew", i, k)
+					}
+				}
+				if k := upOf(w, 5); k != 5 {
+					t.Errorf("%d of 5 services run", k)
+				}
+			})
+		})
+	}
+}
--- a/internal/controller/house.go
+++ b/internal/controller/house.go
@@ -262,7 +262,7 @@
 func (n *Node) judgeMachines(r *role) {
 	now := n.now()
 	silent := n.silentAfter()
-	up, mute := map[int32]int{}, map[int32]int{}
+	up, mute, deaf := map[int32]int{}, map[int32]int{}, map[int32]int{}
 	quiet := func(mc *model.Machine) bool {
 		limit := silent
 		if !mc.Reported && (len(mc.Runs) == 0 || mc.Info.Addr == "") {
@@ -270,7 +270,7 @@
 			// as soon as a node leads, and says nothing only if it hangs or is gone.
 			limit += 6 * time.Second
 		}
-		return now-mc.LastReport > limit
+		return mc.Silence(now) > limit
 	}
 	// A suspect machine was up too, though a new leader finds nothing on it: a
 	// whole zone was returned as never having come up, just as its cut ended.
@@ -280,9 +280,12 @@
 			up[mc.Zone]++
 			// When the first machine of a cut zone is given up, every other one
 			// has missed a report too; outside a cut few have.
-			if now-mc.LastReport > config.Seconds(n.set.Params.Workers.ReportS*1.25) {
+			if mc.DeafSince != 0 || now-mc.LastReport > config.Seconds(n.set.Params.Workers.ReportS*1.25) {
 				mute[mc.Zone]++
 			}
+			if mc.DeafSince != 0 {
+				deaf[mc.Zone]++
+			}
 		}
 	}
 	n.judgeSelf(r, up, mute)
@@ -292,6 +295,9 @@
 		r.lastLate = time.Now()
 	}
 	for _, mc := range n.m.Order {
+		if look && deaf[mc.Zone] >= deafSome && mc.Reported {
+			n.m.Try(mc) // the others of its zone hear as little, most likely
+		}
 		if look && n.m.FindLate(mc, now) {
 			n.saySlow(mc)
 		}
@@ -304,7 +310,7 @@
 				n.dirty = true // of use again: its jobs fail elsewhere too
 			}
 		}
-		if !mc.Releasing && was(mc) && now-mc.LastReport > n.probeAfter() {
+		if !mc.Releasing && was(mc) && mc.Silence(now) > n.probeAfter() {
 			n.probe(mc, false)
 		}
 		// Many machines of a zone silent at once look like a cut, in which they
@@ -324,7 +330,7 @@
 		case mc.Bad && len(mc.Runs) == 0:
 			n.giveUp(mc, "it is faulty")
 		case was(mc) && quiet(mc):
-			if !cut || now-mc.LastReport >= cutPatience {
+			if !cut || mc.Silence(now) >= cutPatience {
 				n.giveUp(mc, "it is silent")
 				continue
 			}
@@ -346,6 +352,9 @@
 	}
 }
 
+// deafSome is how many machines of a zone that do not hear have the others tried.
+const deafSome = 2
+
 // unheardFor is how long hardly any machine may be heard of, though some are asked,
 // before the lead is handed over: longer than they have to answer.
 const unheardFor = 1500 * time.Millisecond
--- a/internal/controller/node.go
+++ b/internal/controller/node.go
@@ -149,6 +149,8 @@
 	probes      chan struct{}           // room for machines that are being asked
 	inVain      map[*model.Machine]bool // asked, without an answer, and not heard of in this term
 	zones       map[int32]*zoneAsked    // what came of asking, by zone
+	strangers   map[string]bool         // machines that nobody knows, and that are being asked
+	asks        int                     // machines that are being asked because of what they said
 	reports     int                     // how often any machine was heard of in this term
 }
 
--- a/internal/controller/stand.go
+++ b/internal/controller/stand.go
@@ -81,3 +81,10 @@
 	defer s.mu.Unlock()
 	return s.watch.Since()
 }
+
+// warmOther tells whether another node says of itself that it reads the log to its end.
+func (s *stand) warmOther() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.watch.WarmOther(s.now())
+}
--- a/internal/controller/takeover.go
+++ b/internal/controller/takeover.go
@@ -147,7 +147,7 @@
 	defer cancel()
 	r := &role{
 		ld: won.Leader, batches: make(chan oplog.Batch, 1), compact: make(chan snapshot, 1),
-		orders: map[string]rent.Order{}, cancel: cancel, ctx: ctx, touched: map[*model.Machine]bool{}, later: map[*model.Machine]bool{}, cutUntil: map[int32]model.Time{}, apart: map[string]*apart{}, dropping: map[uint64]bool{}, probes: make(chan struct{}, probesAtOnce), inVain: map[*model.Machine]bool{}, zones: map[int32]*zoneAsked{},
+		orders: map[string]rent.Order{}, cancel: cancel, ctx: ctx, touched: map[*model.Machine]bool{}, later: map[*model.Machine]bool{}, cutUntil: map[int32]model.Time{}, apart: map[string]*apart{}, dropping: map[uint64]bool{}, probes: make(chan struct{}, probesAtOnce), inVain: map[*model.Machine]bool{}, zones: map[int32]*zoneAsked{}, strangers: map[string]bool{},
 	}
 	if since, vacant := n.stand.since(); vacant {
 		r.line.Mark(standby.Noticed, since)
--- a/internal/controller/workers.go
+++ b/internal/controller/workers.go
@@ -8,6 +8,7 @@
 	"fieldhill/internal/api"
 	"fieldhill/internal/config"
 	"fieldhill/internal/fleet"
+	"fieldhill/internal/hearing"
 	"fieldhill/internal/model"
 	"fieldhill/internal/peer"
 	"fieldhill/internal/standby"
@@ -17,82 +18,197 @@
 
 // Report takes a worker's report.
 func (n *Node) Report(ctx context.Context, r *wire.Report) *peer.Reply {
-	return n.inLoop(ctx, func(send func(*peer.Reply)) { send(n.report(r)) })
-}
-
-func (n *Node) report(r *wire.Report) *peer.Reply {
-	if n.role != nil {
-		return n.reportToLeader(r)
-	}
-	return n.reportToOther(r)
+	return n.inLoop(ctx, func(send func(*peer.Reply)) {
+		if n.role != nil {
+			n.reportToLeader(r, send)
+			return
+		}
+		send(n.reportToOther(r))
+	})
 }
 
-func (n *Node) reportToLeader(r *wire.Report) *peer.Reply {
-	if r.Token >= n.m.TermBase+1<<termBits {
+func (n *Node) reportToLeader(r *wire.Report, send func(*peer.Reply)) {
+	mc := n.m.ByName[r.Machine]
+	switch {
+	case r.Token >= n.m.TermBase+1<<termBits:
 		// The worker obeys a later term than this node's.
-		return api.Encode(http.StatusMisdirectedRequest, &wire.Redirect{})
-	}
-	if !n.active() && time.Since(n.caught) > n.set.KeepBound() {
+		send(api.Encode(http.StatusMisdirectedRequest, &wire.Redirect{}))
+		return
+	case !n.active() && time.Since(n.caught) > n.set.KeepBound():
 		// Nobody may keep leases alive for longer than a cancellation that this
 		// node can't know of leaves.
-		return api.Later("no leader at the moment", 1)
-	}
-	if n.m.Tombs[r.Machine] {
-		return api.Later("this machine was returned", 1)
-	}
-	mc := n.m.ByName[r.Machine]
-	if mc == nil {
-		if !n.active() {
-			return n.keepAlive(r)
-		}
-		n.log.Info("machine reports", "machine", r.Machine, "type", r.Type, "zone", r.Zone, "spot", r.Spot)
-		n.propose(&model.Entry{Kind: model.EntryMachine, Machine: n.m.NextMachine, At: time.Now().UnixMilli(),
-			Info: &model.MachineInfo{Name: r.Machine, Addr: r.Addr, Type: r.Type, Zone: r.Zone, Spot: r.Spot}})
-		mc = n.m.ByName[r.Machine]
-	}
-	if mc.Suspect {
-		if !n.active() {
-			return api.Later("no leader at the moment", 1)
-		}
-		// Before it is answered: from here on its lease is renewed again.
-		n.log.Info("suspect machine reports", "machine", mc.Info.Name, "session", r.Session)
-		n.propose(&model.Entry{Kind: model.EntryTrust, Machine: mc.ID})
-		n.dirty = true
+		send(api.Later("no leader at the moment", 1))
+		return
+	case !n.active() && n.others() && !n.keeps(r.Machine, false):
+		// Another node may lead by now, or will soon.
+		send(api.Encode(http.StatusMisdirectedRequest, &wire.Redirect{}))
+		return
+	case n.m.Tombs[r.Machine]:
+		send(api.Later("this machine was returned", 1))
+		return
+	case mc == nil && !n.active():
+		send(n.keepAlive(r))
+		return
+	case mc == nil:
+		n.meet(r, send)
+		return
+	case mc.Suspect && !n.active():
+		send(api.Later("no leader at the moment", 1))
+		return
+	case mc.Suspect:
+		n.heardOfSuspect(mc, r, send)
+		return
 	}
 	first := !mc.Reported
-	if n.observe(mc, r, false) {
-		return api.Encode(http.StatusOK, &wire.ReportAnswer{Token: n.m.Token(mc), Commands: []wire.Command{}})
+	v := n.observe(mc, r, nil)
+	if v.Stale() {
+		// It may be a copy from the past, or the word of a worker that began anew. It is answered, which is nothing to
+		// whoever is not there, and asked.
+		n.ask1(mc, nil)
+		send(api.Encode(http.StatusOK, &wire.ReportAnswer{Token: n.m.Token(mc), Commands: []wire.Command{}}))
+		return
 	}
 	if first {
 		n.dirty = true
-		if mc.RentedAt != 0 {
-			n.fleet.CameUp(mc.Type, mc.Zone, fleet.BootRatio(n.m, mc, n.now()))
+	}
+	send(n.tellMachine(mc))
+}
+
+// tellMachine is the answer to the report of a machine that was taken in.
+func (n *Node) tellMachine(mc *model.Machine) *peer.Reply {
+	mc.Ear.Tell(n.m.Token(mc))
+	return api.Encode(http.StatusOK, &wire.ReportAnswer{Token: n.m.Token(mc), Commands: n.m.Commands(mc, n.role.committed, true)})
+}
+
+// heardOfSuspect takes the report of a machine whose lease is to run out. Before it is answered, which renews the lease, the
+// suspicion is taken back by an entry; and that is done only if the machine answers now: a copy of a report from before the cut, or
+// the word of one that hears nothing, would begin the count anew, again and again.
+func (n *Node) heardOfSuspect(mc *model.Machine, r *wire.Report, send func(*peer.Reply)) {
+	for _, e := range n.m.Grown(mc, r.Session) {
+		n.propose(e)
+		n.dirty = true
+	}
+	ro := n.role
+	if !n.ask1(mc, func() {
+		if n.role == ro && n.active() && n.m.Machines[mc.ID] == mc && !mc.Suspect {
+			send(n.tellMachine(mc))
+		} else {
+			send(api.Later("its lease is to run out", 1))
 		}
+	}) {
+		send(api.Later("its lease is to run out", 1))
 	}
-	cmds := n.m.Commands(mc, n.role.committed, true)
-	return api.Encode(http.StatusOK, &wire.ReportAnswer{Token: n.m.Token(mc), Commands: cmds})
 }
 
-// observe takes in a report and logs what it proves. It tells whether the
-// report was out of date.
-func (n *Node) observe(mc *model.Machine, r *wire.Report, answer bool) (stale bool) {
+// meet takes the report of a machine that nobody knows: a rental whose answer was lost, or a copy from one that is long gone. It
+// counts as a machine once it answers, or the cloud lists it.
+func (n *Node) meet(r *wire.Report, send func(*peer.Reply)) {
+	ro := n.role
+	later := api.Later("this machine is not known", 1)
+	if len(ro.strangers) >= asksAtOnce || ro.strangers[r.Machine] {
+		send(later)
+		return
+	}
+	ro.strangers[r.Machine] = true
+	go func() {
+		rep, err := n.worker.Show(ro.ctx, r.Addr, askFor)
+		n.post(func() {
+			delete(ro.strangers, r.Machine)
+			if n.role != ro || !n.active() || err != nil || rep.Machine != r.Machine || n.m.Tombs[r.Machine] {
+				send(later)
+				return
+			}
+			if n.m.ByName[r.Machine] == nil {
+				n.log.Info("machine reports", "machine", r.Machine, "type", rep.Type, "zone", rep.Zone, "spot", rep.Spot)
+				n.propose(&model.Entry{Kind: model.EntryMachine, Machine: n.m.NextMachine, At: time.Now().UnixMilli(),
+					Info: &model.MachineInfo{Name: rep.Machine, Addr: rep.Addr, Type: rep.Type, Zone: rep.Zone, Spot: rep.Spot}})
+			}
+			mc := n.m.ByName[r.Machine]
+			n.observe(mc, rep, n.m.Ask(mc))
+			n.dirty = true
+			send(n.tellMachine(mc))
+		})
+	}()
+}
+
+const (
+	// asksAtOnce is how many machines are asked at the same time because of what they said, and as many because nobody knows them.
+	asksAtOnce = 32
+	// askFor is how long such a machine has to answer.
+	askFor = 1200 * time.Millisecond
+	// askEvery is how often one is asked at most, unless somebody waits for the answer.
+	askEvery = time.Second
+)
+
+// ask1 asks a machine how it is now; then, if not nil, is called when it has answered or has not. It tells whether it asks.
+func (n *Node) ask1(mc *model.Machine, then func()) bool {
+	r := n.role
+	if mc.Info.Addr == "" || r.asks >= asksAtOnce || then == nil && n.now()-mc.AskedAt < askEvery {
+		return false
+	}
+	r.asks++
+	mc.AskedAt = n.now()
+	addr, q := mc.Info.Addr, n.m.Ask(mc)
+	go func() {
+		rep, err := n.worker.Show(r.ctx, addr, askFor)
+		n.post(func() {
+			r.asks--
+			if n.role == r && err == nil {
+				n.answered(mc, rep, q)
+			}
+			if then != nil {
+				then()
+			}
+		})
+	}()
+	return true
+}
+
+// answered takes the answer of a machine that was asked how it is.
+func (n *Node) answered(mc *model.Machine, rep *wire.Report, q *hearing.Question) {
+	if n.m.Machines[mc.ID] != mc || rep.Machine != mc.Info.Name {
+		return
+	}
+	if mc.Suspect && n.active() {
+		// From here on its lease is renewed again.
+		n.log.Info("suspect machine answers", "machine", mc.Info.Name, "session", rep.Session)
+		n.propose(&model.Entry{Kind: model.EntryTrust, Machine: mc.ID})
+		n.dirty = true
+	}
+	first := !mc.Reported
+	n.observe(mc, rep, q)
+	mc.LastReport = n.now()
+	n.dirty = n.dirty || first
+}
+
+// observe takes in a report, or the answer to a question, and logs what it proves.
+func (n *Node) observe(mc *model.Machine, r *wire.Report, q *hearing.Question) model.Verdict {
+	bad, deaf, first := mc.Bad, mc.DeafSince != 0, !mc.Reported
+	v := n.m.Observe(mc, r, q, n.now())
+	for _, e := range v.Entries {
+		n.propose(e)
+		n.dirty = true
+	}
+	if v.Stale() {
+		return v
+	}
 	n.role.heard = n.now()
 	n.role.note(n.role.asked(mc.Zone), true)
 	n.learnAddr(mc, r.Addr)
-	bad := mc.Bad
-	v := n.m.Observe(mc, r, answer, n.now())
-	if v.Stale {
-		return true
+	if first && mc.RentedAt != 0 {
+		n.fleet.CameUp(mc.Type, mc.Zone, fleet.BootRatio(n.m, mc, n.now()))
 	}
 	switch {
+	case v.Sense == hearing.Reborn:
+		n.log.Info("machine began anew under its name", "machine", mc.Info.Name, "session", r.Session, "seq", r.Seq, "tasks", len(mc.Runs))
+		n.touch(mc) // a token that its earlier life can't have
 	case v.Slow:
 		n.saySlow(mc)
 	case mc.Bad && !bad:
 		n.sayDistrusted(mc)
 	}
-	for _, e := range v.Entries {
-		n.propose(e)
-		n.dirty = true
+	if is := mc.DeafSince != 0; is != deaf {
+		n.sayDeaf(mc)
 	}
 	n.m.SealDead(mc, n.role.seq())
 	for _, j := range v.Faulty {
@@ -101,7 +217,11 @@
 	if len(v.Entries) > 0 {
 		n.touch(mc) // the worker is told to forget what is logged
 	}
-	return false
+	return v
+}
+
+func (n *Node) sayDeaf(mc *model.Machine) {
+	n.log.Info("machine that is heard and does not hear", "machine", mc.Info.Name, "zone", mc.Info.Zone, "deaf", mc.DeafSince != 0, "tasks", len(mc.Runs))
 }
 
 // keepFirst and keepBack are how long a worker that does not reach the leader is
@@ -130,28 +250,33 @@
 	}
 	if n.leader != nil && n.leader.Node != n.set.Node {
 		l := n.links[n.leader.Node]
-		reached := l != nil && now.Sub(l.Heard()) < linkFresh
-		until, known := n.keepUntil[r.Machine]
-		if !known || now.Sub(until) > time.Minute {
-			// It comes for the first time, since the leader did not answer it, and
-			// its lease may be near its end: it is kept before it is sent to look
-			// for the leader again, which takes long when nothing answers.
-			until = now.Add(keepFirst)
-		} else if !reached && now.After(until) {
-			until = now.Add(keepBack) // if it comes back, it is cut off from the leader too
-			reached = true
-		}
-		if reached {
-			if known {
-				n.keepUntil[r.Machine] = until
-			}
+		if !n.keeps(r.Machine, l != nil && now.Sub(l.Heard()) < linkFresh) {
 			return api.Encode(http.StatusMisdirectedRequest, &wire.Redirect{Node: n.leader.Node})
 		}
-		n.keepUntil[r.Machine] = until
 	}
 	return n.keepAlive(r)
 }
 
+// keeps tells whether a worker is kept by this node, which can't serve it, or sent to look for the leader; reached tells whether this
+// node reaches the leader.
+func (n *Node) keeps(machine string, reached bool) bool {
+	now := time.Now()
+	until, known := n.keepUntil[machine]
+	if !known || now.Sub(until) > time.Minute {
+		// It comes for the first time, since the leader did not answer it, and
+		// its lease may be near its end: it is kept before it is sent to look
+		// for the leader again, which takes long when nothing answers.
+		until = now.Add(keepFirst)
+	} else if !reached && now.After(until) {
+		until = now.Add(keepBack) // if it comes back, it is cut off from the leader too
+		reached = true
+	}
+	if !reached || known {
+		n.keepUntil[machine] = until
+	}
+	return !reached
+}
+
 // keepAlive renews a worker's lease under the worker's own token while no leader
 // can. Nothing is started. Tasks of jobs that the log shows as cancelled are
 // stopped, and what this node can't know of any more is why it ends after a
@@ -203,10 +328,10 @@
 	if n.waitsForLog(mc) {
 		r.later[mc] = true
 	}
-	if len(cmds) == 0 {
+	if len(cmds) == 0 && mc.Ear.Fenced() {
 		return
 	}
-	token := n.m.Token(mc)
+	token, q := n.m.Token(mc), n.m.Ask(mc)
 	n.m.Sent(mc, cmds, token)
 	mc.Sending = true
 	r.line.Mark(standby.Sent, n.now())
@@ -226,6 +351,14 @@
 			case worker.Unknown:
 				n.log.Debug("command without an answer", "machine", mc.Info.Name, "err", err)
 				n.m.Lost(mc, cmds, token)
+				n.ask1(mc, func() {
+					// Reports may go on to come from it.
+					if n.role == r && n.m.Machines[mc.ID] == mc && n.now()-mc.LastReport > askFor && mc.NoDirect && mc.DeafSince == 0 {
+						mc.FoundDeaf(n.now())
+						n.m.Try(mc)
+						n.sayDeaf(mc)
+					}
+				})
 			case worker.Unsent:
 				n.m.Answered(mc, cmds, token, false)
 				mc.NoDirect = true
@@ -236,7 +369,7 @@
 				n.m.Answered(mc, cmds, token, true)
 			}
 			if rep != nil && rep.Machine == mc.Info.Name {
-				n.observe(mc, rep, true)
+				n.observe(mc, rep, q)
 			}
 			if r.touched[mc] {
 				n.direct(mc)
@@ -333,6 +466,7 @@
 	}
 	mc.Probing = true
 	addr, zone := mc.Info.Addr, r.asked(mc.Zone)
+	q := n.m.Ask(mc)
 	go func() {
 		select {
 		case r.probes <- struct{}{}:
@@ -344,7 +478,7 @@
 			n.post(func() { mc.Probing = false })
 			return
 		}
-		rep, err := n.worker.Show(r.ctx, addr, 1200*time.Millisecond)
+		rep, err := n.worker.Show(r.ctx, addr, askFor)
 		n.post(func() {
 			mc.Probing = false
 			if n.role == r && err != nil && !mc.Reported {
@@ -352,11 +486,8 @@
 				r.note(zone, false)
 				n.dirty = true
 			}
-			if n.role == r && err == nil && n.m.Machines[mc.ID] == mc && rep.Machine == mc.Info.Name {
-				first := !mc.Reported
-				n.observe(mc, rep, true)
-				mc.LastReport = n.now()
-				n.dirty = n.dirty || first
+			if n.role == r && err == nil {
+				n.answered(mc, rep, q)
 			}
 		})
 	}()
--- a/internal/controller/world_test.go
+++ b/internal/controller/world_test.go
@@ -14,6 +14,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -660,6 +661,7 @@
 }
 
 func randomDay(t *testing.T, w *standin.World, rng *rand.Rand) {
+	calm := moreTrouble(w, rand.New(rand.NewPCG(rng.Uint64(), 10)))
 	w.Trouble(0.1, 20*time.Second)
 	w.State.Limit(w.Params.State.RPS, w.Params.State.WriteRPS) // what a process used up is missing to the next one
 	time.Sleep(6 * time.Second)
@@ -768,6 +770,7 @@
 		}
 		time.Sleep(time.Duration(rng.IntN(8000)) * time.Millisecond)
 	}
+	calm()
 	w.Trouble(0, 0)
 	w.State.SetOutage(false)
 	w.State.SetSlow(3 * time.Millisecond)
@@ -781,7 +784,13 @@
 			w.Start(k)
 		}
 	}
-	time.Sleep(90 * time.Second)
+	w.Referee.Calm()
+	for range 18 { // nobody is forgotten: each job is asked about, as users do
+		for _, id := range open {
+			go w.Call("poll", id, nil)
+		}
+		time.Sleep(5 * time.Second)
+	}
 	for _, id := range open {
 		w.Cancel(id)
 	}
@@ -815,6 +824,57 @@
 	}
 }
 
+// moreTrouble begins what goes on beside a random day: machines whose reports arrive while nothing reaches them, one or a zone; copies
+// of reports, from seconds to twice a lease late; a controller that loses the state service and the others but not its workers; and
+// machines that are back under their names within a moment. It returns what ends all of it.
+func moreTrouble(w *standin.World, rng *rand.Rand) (calm func()) {
+	var over atomic.Bool
+	if rng.IntN(2) == 0 {
+		w.Copies(0.05+0.3*rng.Float64(), time.Duration(2+rng.IntN(2*int(w.Params.Workers.LeaseS)))*time.Second)
+	}
+	go func() {
+		for w.Context().Err() == nil {
+			time.Sleep(time.Duration(1000+rng.IntN(20000)) * time.Millisecond)
+			all := w.Cloud.Up()
+			if over.Load() {
+				return
+			}
+			if len(all) == 0 {
+				continue
+			}
+			one, zone, i := all[rng.IntN(len(all))], rng.IntN(4) == 0, rng.IntN(3)
+			lasts := time.Duration(rng.IntN(60)) * time.Second
+			switch what := rng.IntN(4); what {
+			case 0:
+				for _, wk := range all {
+					if wk == one || zone && wk.Zone == one.Zone {
+						wk.Deafen(true)
+						time.AfterFunc(lasts, func() { wk.Deafen(false) })
+					}
+				}
+			case 1:
+				w.Island(i, true)
+				time.AfterFunc(lasts, func() { w.Island(i, false) })
+			default:
+				for range 1 + rng.IntN(3) {
+					one.Reboot(what == 2)
+					time.Sleep(time.Duration(50+rng.IntN(600)) * time.Millisecond)
+				}
+			}
+		}
+	}()
+	return func() {
+		over.Store(true)
+		w.Copies(0, 0)
+		for _, wk := range w.Cloud.Up() {
+			wk.Deafen(false)
+		}
+		for i := range 3 {
+			w.Island(i, false)
+		}
+	}
+}
+
 // TestLogLeavesRoom: ends and placements of low work gather, and a compaction
 // takes what is left over, so that a submission finds the log free. The log used
 // to be written as often as the state service allows, at any load.
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -387,7 +387,7 @@
 	var out []*slot
 	for _, mc := range m.Order {
 		t := m.TypeOf(mc)
-		if !t.Known || mc.Bad || mc.Releasing || mc.Notice != 0 || mc.Suspect || mc.Overdue {
+		if !t.Known || mc.Bad || mc.Releasing || mc.Notice != 0 || mc.Suspect || mc.DeafSince != 0 || mc.Overdue {
 			continue
 		}
 		total := sched.Total(m, mc)
--- a/internal/model/model.go
+++ b/internal/model/model.go
@@ -22,6 +22,7 @@
 	"time"
 
 	"fieldhill/internal/config"
+	"fieldhill/internal/hearing"
 	"fieldhill/internal/intern"
 	"fieldhill/internal/why"
 	"fieldhill/wire"
@@ -282,8 +283,8 @@
 
 	// What the leader observes.
 	Session    uint64
-	ReportSeq  uint64
-	SeenToken  uint64 // highest token that the worker has reported
+	Ear        hearing.Ear // what was heard of its worker
+	DeafSince  Time        // since when answers are known not to arrive; 0: they do
 	Bump       uint64
 	Reported   bool // it has reported to this leader
 	LastReport Time
@@ -304,6 +305,7 @@
 	DoubtSince  Time // since when it gets nothing new, because jobs failed on it; 0: it does
 	Sending     bool // a direct command is under way
 	Probing     bool // it is being asked how it is
+	AskedAt     Time // when it was last asked because of what it said
 	NoDirect    bool // the last direct command got no answer
 	unsure      map[runKey]underway
 	dead        []deadTask
@@ -512,7 +514,7 @@
 
 // Usable tells whether a machine may be given work.
 func (mc *Machine) Usable() bool {
-	return mc.Reported && !mc.Leaves() && !mc.Releasing && !mc.Suspect && mc.DoubtSince == 0
+	return mc.Reported && !mc.Leaves() && !mc.Releasing && !mc.Suspect && mc.DoubtSince == 0 && mc.DeafSince == 0
 }
 
 // Apply carries out one entry of the log.
--- a/internal/model/model_test.go
+++ b/internal/model/model_test.go
@@ -43,7 +43,7 @@
 	}
 	m.BeginTerm(3<<24, 0)
 	mc := m.Machines[1]
-	m.Observe(mc, report(1, 1, 3<<24), false, 0)
+	m.Observe(mc, report(1, 1, 3<<24), nil, 0)
 	if err := m.Apply(&Entry{Kind: EntryPlace, Job: 7, Task: 0, Attempt: 1, Machine: 1, Session: 1}, 4, 0); err != nil {
 		t.Fatal(err)
 	}
@@ -88,16 +88,16 @@
 	m.Sent(mc, cmds, m.Token(mc))
 	m.Lost(mc, cmds, m.Token(mc))
 	run.Stop = true
-	if v := m.Observe(mc, report(1, 2, 3<<24), false, 1); len(v.Entries) != 0 {
+	if v := m.Observe(mc, report(1, 2, 3<<24), nil, 1); len(v.Entries) != 0 {
 		t.Fatal("the run was declared gone while its start may still be executed")
 	}
 	if m.Token(mc) != 3<<24+1 {
 		t.Fatalf("the machine's token is %d: the late start is not fenced", m.Token(mc))
 	}
-	if v := m.Observe(mc, report(1, 3, 3<<24), false, 1); len(v.Entries) != 0 {
+	if v := m.Observe(mc, report(1, 3, 3<<24), nil, 1); len(v.Entries) != 0 {
 		t.Fatal("gone before the worker has seen the higher token")
 	}
-	v := m.Observe(mc, report(1, 4, 3<<24+1), false, 1)
+	v := m.Observe(mc, report(1, 4, 3<<24+1), nil, 1)
 	if len(v.Entries) != 1 || v.Entries[0].Kind != EntryEnded {
 		t.Fatalf("not gone although the late start can't be executed any more: %v", v.Entries)
 	}
@@ -113,7 +113,7 @@
 	m.Lost(mc, cmds, tok)
 	m.Sent(mc, cmds, tok)
 	m.Answered(mc, cmds, tok, true)
-	v := m.Observe(mc, report(1, 2, tok, wire.TaskStatus{Task: "req-000007/0", Attempt: 1, State: wire.TaskExited, Cause: wire.CauseError}), true, 1)
+	v := m.Observe(mc, report(1, 2, tok, wire.TaskStatus{Task: "req-000007/0", Attempt: 1, State: wire.TaskExited, Cause: wire.CauseError}), m.Ask(mc), 1)
 	for _, e := range v.Entries {
 		_ = m.Apply(e, 5, 1)
 	}
@@ -123,7 +123,7 @@
 			t.Error("the attempt is forgotten while a copy of its start is under way: it would run again")
 		}
 	}
-	m.Observe(mc, report(1, 3, m.Token(mc), wire.TaskStatus{Task: "req-000007/0", Attempt: 1, State: wire.TaskExited, Cause: wire.CauseError}), false, 2)
+	m.Observe(mc, report(1, 3, m.Token(mc), wire.TaskStatus{Task: "req-000007/0", Attempt: 1, State: wire.TaskExited, Cause: wire.CauseError}), nil, 2)
 	m.SealDead(mc, 5)
 	if d := cmp.Diff([]string{"reap req-000007/0"}, verbs(m.Commands(mc, 9, true))); d != "" {
 		t.Error(d)
@@ -137,10 +137,10 @@
 	m, mc, _ := small(t)
 	_ = m.Apply(&Entry{Kind: EntryCancel, Job: 7}, 5, 0)
 	m.BeginTerm(4<<24, 0)
-	if v := m.Observe(mc, report(1, 5, 3<<24), false, 1); len(v.Entries) != 0 {
+	if v := m.Observe(mc, report(1, 5, 3<<24), nil, 1); len(v.Entries) != 0 {
 		t.Fatal("gone under the old token")
 	}
-	if v := m.Observe(mc, report(1, 6, 4<<24), false, 1); len(v.Entries) != 1 {
+	if v := m.Observe(mc, report(1, 6, 4<<24), nil, 1); len(v.Entries) != 1 {
 		t.Fatal("not gone under the new token")
 	}
 }
@@ -149,10 +149,10 @@
 	m, mc, run := small(t)
 	run.Phase = Running
 	run.Job.Running = 1
-	if v := m.Observe(mc, report(1, 1, 3<<24), false, 1); !v.Stale {
+	if v := m.Observe(mc, report(1, 1, 3<<24), nil, 1); !v.Stale() {
 		t.Error("an old report was believed")
 	}
-	v := m.Observe(mc, report(2, 1, 3<<24), false, 1)
+	v := m.Observe(mc, report(2, 1, 3<<24), nil, 1)
 	if len(v.Entries) != 1 || v.Entries[0].Kind != EntryEnded {
 		t.Errorf("a newer session ends what ran in the older: %v", v.Entries)
 	}
@@ -163,7 +163,7 @@
 func TestKeptResult(t *testing.T) {
 	m, mc, _ := small(t)
 	_ = m.Apply(&Entry{Kind: EntryEnded, Job: 7, Task: 0, Attempt: 1}, 5, 0)
-	v := m.Observe(mc, report(1, 2, 3<<24, wire.TaskStatus{Task: "req-000007/0", Attempt: 1, State: wire.TaskExited, Cause: wire.CauseDone}), false, 1)
+	v := m.Observe(mc, report(1, 2, 3<<24, wire.TaskStatus{Task: "req-000007/0", Attempt: 1, State: wire.TaskExited, Cause: wire.CauseDone}), nil, 1)
 	if len(v.Entries) != 1 || v.Entries[0].Kind != EntryDone {
 		t.Errorf("got %v", v.Entries)
 	}
@@ -475,7 +475,7 @@
 	say := func(state, cause string) {
 		x.seq++
 		r := report(1, x.seq, 3<<24, wire.TaskStatus{Task: wire.TaskID(job, int(task)), Attempt: 1, State: state, Cause: cause})
-		v := x.m.Observe(mc, r, false, x.now)
+		v := x.m.Observe(mc, r, nil, x.now)
 		slow = slow || v.Slow
 		for _, e := range v.Entries {
 			x.apply(e)
@@ -499,7 +499,7 @@
 	}
 	x.m.BeginTerm(3<<24, 0)
 	for n := MachineID(1); n <= 3; n++ {
-		x.m.Observe(x.m.Machines[n], report(1, 1, 3<<24), false, x.now)
+		x.m.Observe(x.m.Machines[n], report(1, 1, 3<<24), nil, x.now)
 	}
 	x.seq = 1
 	for n := uint64(1); n <= 30; n++ {
@@ -596,7 +596,7 @@
 		began := x.now
 		for x.now < began+config.Seconds(80) {
 			x.seq++
-			x.m.Observe(mc, report(1, x.seq, 3<<24, tasks...), false, x.now)
+			x.m.Observe(mc, report(1, x.seq, 3<<24, tasks...), nil, x.now)
 			if now == 0 && x.m.FindLate(mc, x.now) {
 				now = x.now - began
 			}
--- a/internal/model/observe.go
+++ b/internal/model/observe.go
@@ -1,6 +1,7 @@
 package model
 
 import (
+	"fieldhill/internal/hearing"
 	"fieldhill/wire"
 )
 
@@ -31,7 +32,7 @@
 func (m *Model) BeginTerm(base uint64, now Time) {
 	m.TermBase = base
 	for _, mc := range m.Order {
-		mc.Session, mc.ReportSeq, mc.SeenToken, mc.Bump = 0, 0, 0, 0
+		mc.Session, mc.Ear, mc.DeafSince, mc.Bump = 0, hearing.Ear{}, 0, 0
 		mc.Reported, mc.LastReport, mc.KnownSince, mc.Notice, mc.RentedAt, mc.Overdue = false, now, now, 0, 0, false
 		mc.Sending, mc.NoDirect = false, false
 		if mc.SuspectFrom = 0; mc.Suspect {
@@ -67,28 +68,62 @@
 
 // Verdict is what Observe makes of a report.
 type Verdict struct {
-	Stale   bool // older than what is known
+	Sense   hearing.Sense // what the report proves; Old and Unproven: nothing of now
 	Entries []*Entry
 	Faulty  []*Job // jobs that this report shows to fail everywhere
 	Slow    bool   // the report shows the machine to be slow
 }
 
-// Observe takes a worker's report, or the report that a direct command was
-// answered with, and returns the entries it is evidence for. The caller logs
-// and applies them.
-func (m *Model) Observe(mc *Machine, r *wire.Report, answer bool, now Time) Verdict {
-	if mc.Reported && (r.Session < mc.Session || r.Session == mc.Session && r.Seq <= mc.ReportSeq) {
-		return Verdict{Stale: true}
-	}
-	if r.Session != mc.Session {
+// Stale tells whether the report proves nothing of now: the machine is to be asked.
+func (v *Verdict) Stale() bool { return v.Sense == hearing.Old || v.Sense == hearing.Unproven }
+
+// Ask notes what is known of a machine as a question goes to it, a look or a command.
+func (m *Model) Ask(mc *Machine) *hearing.Question { return mc.Ear.Ask() }
+
+// reached is a session that a machine's worker is known, by the log, to have reached.
+func (mc *Machine) reached() (session uint64) {
+	for _, r := range mc.Runs {
+		session = max(session, r.Session)
+	}
+	return session
+}
+
+// Observe takes a worker's report, or the report that a question was answered with (q: what was known when it was
+// asked), and returns the entries it is evidence for. The caller logs and applies them.
+func (m *Model) Observe(mc *Machine, r *wire.Report, q *hearing.Question, now Time) Verdict {
+	w := hearing.Word{Number: hearing.Number{Session: r.Session, Seq: r.Seq}, Token: r.Token}
+	v := Verdict{Sense: mc.Ear.Judge(w, m.TermBase, mc.reached(), q)}
+	if v.Stale() {
+		if v.Sense == hearing.Unproven {
+			v.Entries = m.Grown(mc, r.Session)
+		}
+		return v
+	}
+	answer := q != nil
+	known := mc.Reported
+	if v.Sense == hearing.Reborn {
+		mc.Bump++ // what was sent to its earlier life has lower tokens
+	}
+	met := mc.Ear.Take(w, v.Sense, m.Token(mc), !answer)
+	if r.Session > mc.Session {
 		// Commands for an earlier session are refused by the worker.
 		mc.unsure = nil
 	}
-	mc.Session, mc.ReportSeq, mc.SeenToken = r.Session, r.Seq, r.Token
+	lapsed := !answer && known && r.Session > mc.Session
+	doubt := lapsed || !answer && mc.NoDirect
+	mc.Session = r.Session
 	mc.Reported, mc.LastReport = true, now
 	if !answer {
 		mc.NoDirect = false
 	}
+	switch {
+	case mc.Ear.Deaf():
+		mc.FoundDeaf(now)
+	case met || answer:
+		mc.DeafSince = 0
+	case lapsed:
+		mc.FoundDeaf(now) // its lease ran out although its reports were answered; the report after the next answer tells
+	}
 	if r.NoticeS != nil {
 		if mc.Notice == 0 {
 			mc.Notice = now + Time(*r.NoticeS*1e9)
@@ -107,7 +142,6 @@
 	mc.listened = now
 	mc.obs++
 	mc.dead = mc.dead[:0]
-	var v Verdict
 	for i := range r.Tasks {
 		m.observeTask(mc, &r.Tasks[i], &v, now)
 	}
@@ -115,13 +149,52 @@
 		if run.seen == mc.obs {
 			continue
 		}
+		sent := run.answerSeq
 		if e := m.absent(mc, run, r, answer); e != nil {
 			v.Entries = append(v.Entries, e)
+		} else if sent != 0 && run.answerSeq == 0 {
+			doubt = true // it was told to start it, and has not
 		}
 	}
+	if doubt {
+		m.Try(mc)
+	}
 	return v
 }
 
+// Try raises a machine's token, unless the worker is yet to show the last one: whether answers arrive is not known, and the report
+// after the next answer tells.
+func (m *Model) Try(mc *Machine) {
+	if mc.Ear.Token() >= m.Token(mc) {
+		mc.Bump++
+	}
+}
+
+// FoundDeaf notes that what is said to a machine does not arrive, as far as is known.
+func (mc *Machine) FoundDeaf(now Time) {
+	if mc.DeafSince == 0 {
+		mc.DeafSince = max(now, 1)
+	}
+}
+
+// Grown is what a session proves whenever its report was sent: runs of an earlier one are gone.
+func (m *Model) Grown(mc *Machine, session uint64) (list []*Entry) {
+	for _, run := range mc.Runs {
+		if run.Session < session {
+			list = append(list, &Entry{Kind: EntryEnded, Job: run.Job.ID, Task: run.Task, Attempt: run.Attempt})
+		}
+	}
+	return list
+}
+
+// Silence is for how long a machine has not been heard of, or is known not to hear.
+func (mc *Machine) Silence(now Time) Time {
+	if mc.DeafSince != 0 {
+		return max(now-mc.LastReport, now-mc.DeafSince)
+	}
+	return now - mc.LastReport
+}
+
 func (m *Model) observeTask(mc *Machine, s *wire.TaskStatus, v *Verdict, now Time) {
 	n, task, ok := wire.ParseTaskID(s.Task)
 	if !ok || s.Attempt >= 1<<31 {
@@ -198,7 +271,13 @@
 	if run.Session < r.Session {
 		return gone // a newer session: everything of the older one is gone
 	}
+	if !mc.Ear.Fenced() {
+		return nil // a start that was sent to an earlier life may come to this one
+	}
 	if run.Session > r.Session {
+		if mc.Ear.Lives() > 0 {
+			return gone // of an earlier life
+		}
 		return nil
 	}
 	if !answer && run.answerSeq != 0 && r.Seq > run.answerSeq {
@@ -259,7 +338,7 @@
 			_, open := mc.unsure[d.key]
 			// After it is forgotten a repeated start would run it again, so no
 			// start of it may be under way, from this leader or another.
-			if open || committed < d.seq || mc.SeenToken < m.TermBase {
+			if open || committed < d.seq || mc.Ear.Token() < m.TermBase || !mc.Ear.Fenced() {
 				if open {
 					m.fence(mc, d.key)
 				}
@@ -283,7 +362,7 @@
 		case r.Wanted() && r.Phase == Unseen && committed >= r.Seq:
 			c.Verb = wire.Start
 			if viaAnswer {
-				r.answerSeq = mc.ReportSeq
+				r.answerSeq = mc.Ear.Number().Seq
 			}
 		case r.Stop && !r.Job.Cancelled && committed >= r.Seq:
 			c.Verb, c.GraceS = wire.Stop, new(float64)
--- a/internal/sched/early_test.go
+++ b/internal/sched/early_test.go
@@ -18,7 +18,7 @@
 	if web.Live != 1 {
 		t.Fatal("the first replica has no place")
 	}
-	w.m.Observe(web.Tasks[0].Run.Machine, &wire.Report{Session: 1, Seq: 1, Tasks: []wire.TaskStatus{{Task: "req-000001/0", Attempt: 1, State: wire.TaskRunning}}}, false, 2e9)
+	w.m.Observe(web.Tasks[0].Run.Machine, &wire.Report{Session: 1, Seq: 1, Tasks: []wire.TaskStatus{{Task: "req-000001/0", Attempt: 1, State: wire.TaskRunning}}}, nil, 2e9)
 	low := w.submit(2, func(s *wire.JobSpec) { s.Tasks, s.Spot = 24, true })
 	s.Round(w.m, 3e9, true, w)
 	s.Round(w.m, 5e9, true, w)
--- a/internal/standby/standby.go
+++ b/internal/standby/standby.go
@@ -202,3 +202,13 @@
 	}
 	return true, 0
 }
+
+// WarmOther tells whether another node says now that it is warm.
+func (w *Watch) WarmOther(now Time) bool {
+	for i := range w.others {
+		if o := &w.others[i]; o.heard && now-o.at <= w.rules.Counts && o.word.Warm {
+			return true
+		}
+	}
+	return false
+}
--- a/internal/standin/referee.go
+++ b/internal/standin/referee.go
@@ -18,6 +18,33 @@
 	on      map[string]map[string]bool // task: machines where it has its image and is not gone
 	broken  []string
 	starts  int
+	calm    bool // all troubles are over
+}
+
+// forgottenAfter is for how long all questions about an accepted job may stay unanswered once all troubles are over.
+const forgottenAfter = 75 * time.Second
+
+// Calm tells the referee that all troubles are over.
+func (f *Referee) Calm() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.calm = true
+}
+
+// Unanswered notes a question about a job that got no answer: none at all, or a refusal, which is none.
+func (f *Referee) Unanswered(id string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	n, _ := wire.JobNumber(id)
+	t := f.jobs[n]
+	switch {
+	case t == nil || !f.calm || !t.accepted || t.asked:
+	case t.unheard.IsZero():
+		t.unheard = time.Now()
+	case time.Since(t.unheard) > forgottenAfter:
+		f.broke("forgotten", "no question about %s was answered for %v", id, time.Since(t.unheard))
+		t.unheard = time.Now()
+	}
 }
 
 type truth struct {
@@ -30,6 +57,7 @@
 	cancelled time.Time
 	zones     map[int]string // where each task is
 	known     time.Time      // when its user began to submit it
+	unheard   time.Time      // since when no question about it was answered, all troubles over; zero: the last one was
 	upS       float64        // replicas' seconds, from replicaFrom on
 	wantedS   float64
 }
@@ -206,6 +234,7 @@
 	case code != 200 && code != 201:
 		return
 	}
+	t.unheard = time.Time{}
 	if what == "submit" || what == "poll" {
 		t.accepted = true
 	}
--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"io"
 	"math/rand/v2"
 	"net/http"
@@ -29,7 +30,10 @@
 	changed  bool
 	hangs    time.Time // executes nothing until then
 	sick     bool
-	lost     bool // the machine is gone
+	lost     bool         // the machine is gone
+	deaf     bool         // its reports arrive, answers and commands don't reach it
+	life     int          // how often it was started again
+	sent     *wire.Report // the last one
 	stop     context.CancelFunc
 	images   map[string]bool
 	target   int
@@ -61,6 +65,7 @@
 		for w.hung() {
 			time.Sleep(step)
 		}
+		w.unreached()
 		w.mu.Lock()
 		defer w.mu.Unlock()
 		answer(rw, 200, w.report())
@@ -105,6 +110,53 @@
 	return !w.lost && time.Now().Before(w.hangs)
 }
 
+// Deafen has the machine's reports arrive while answers and commands don't reach it, or ends that.
+func (w *Worker) Deafen(on bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.deaf = on
+}
+
+// unreached loses what was sent to a machine that can't be reached: its sender gets no answer while it waits for one.
+func (w *Worker) unreached() {
+	for range 50 {
+		w.mu.Lock()
+		deaf := w.deaf
+		w.mu.Unlock()
+		if !deaf {
+			return
+		}
+		time.Sleep(step)
+	}
+	panic(http.ErrAbortHandler)
+}
+
+// Reboot ends the machine's worker with everything on it, and starts it again under the same name. The protocol does not say
+// what its numbers begin with: they go on in a new session, or, if afresh, begin at 1 as those of a new machine do.
+func (w *Worker) Reboot(afresh bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.lost {
+		return
+	}
+	for _, t := range w.tasks {
+		w.off(t, false)
+	}
+	w.tasks, w.changed, w.images = nil, true, map[string]bool{}
+	w.leaseEnd = time.Now().Add(w.world.lease)
+	w.life++
+	if w.session++; afresh {
+		w.session, w.seq, w.token = 1, 0, 0
+	}
+}
+
+// Sent is the last report that the machine sent.
+func (w *Worker) Sent() *wire.Report {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.sent
+}
+
 // Sicken makes every task that runs on the machine fail.
 func (w *Worker) Sicken() {
 	w.mu.Lock()
@@ -282,17 +334,21 @@
 	}
 	late, wait := w.world.lateness()
 	if late {
+		w.mu.Lock()
+		life := w.life // what is on its way to an earlier one ends with its connections
+		w.mu.Unlock()
 		go func() {
 			time.Sleep(wait)
 			w.mu.Lock()
 			defer w.mu.Unlock()
-			if !w.lost && o.Token >= w.token && o.Session == w.session {
+			if !w.lost && !w.deaf && w.life == life && o.Token >= w.token && o.Session == w.session {
 				w.token = o.Token
 				w.execute(o.Commands)
 			}
 		}()
 		panic(http.ErrAbortHandler)
 	}
+	w.unreached()
 	for {
 		w.mu.Lock()
 		if w.lost || time.Now().After(w.hangs) {
@@ -331,12 +387,25 @@
 		rep := w.report()
 		node := w.world.nodes[w.target%len(w.world.nodes)]
 		next = now.Add(time.Duration((0.75 + 0.5*w.rng.Float64()) * float64(w.world.report)))
+		life := w.life
+		w.sent = rep
 		w.mu.Unlock()
+		w.world.copyLater(node.bind, rep)
 		rctx, cancel := context.WithTimeout(ctx, 4*time.Second)
 		var a wire.ReportAnswer
 		err := c.Do(rctx, "POST", node.bind, wire.PathReport, rep, &a, wire.MaxBody)
 		cancel()
 		w.mu.Lock()
+		if w.deaf {
+			w.mu.Unlock()
+			time.Sleep(4*time.Second - time.Since(now))
+			w.mu.Lock()
+			err = errNoAnswer
+		}
+		if w.life != life { // that was an earlier one's
+			w.mu.Unlock()
+			continue
+		}
 		switch code := mphttp.Code(err); {
 		case err == nil:
 			if rep.Session == w.session && a.Token >= w.token && !w.lost {
@@ -360,6 +429,8 @@
 	}
 }
 
+var errNoAnswer = errors.New("no answer")
+
 func redirect(err error) string {
 	var r wire.Redirect
 	if se, ok := err.(*mphttp.StatusError); ok {
--- a/internal/standin/world.go
+++ b/internal/standin/world.go
@@ -39,6 +39,8 @@
 	gangs                   map[string]map[string]bool // job and attempt: members that gathered
 	lateOrders              float64                    // chance that a direct command is executed only after its sender gave up
 	lateBy                  time.Duration
+	copies                  float64 // chance that a report comes again
+	copiesBy                time.Duration
 	gangDone                map[string]bool
 	mistakes                map[string]bool // jobs that fail on every machine
 	wrong                   float64         // tasks run so many times as long as their owners say; 0: 1
@@ -197,6 +199,44 @@
 	w.Cloud.mu.Unlock()
 }
 
+// Copies sets the chance that a copy of a report comes to the node that it was sent to, and by how much it may be late.
+func (w *World) Copies(p float64, late time.Duration) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.copies, w.copiesBy = p, late
+}
+
+// copyLater sends a report once more, perhaps. Nobody is there for the answer.
+func (w *World) copyLater(to string, rep *wire.Report) {
+	w.mu.Lock()
+	again, late := false, time.Duration(0)
+	if w.copies > 0 {
+		again, late = w.rng.Float64() < w.copies, time.Duration(w.rng.Float64()*float64(w.copiesBy))
+	}
+	w.mu.Unlock()
+	if again {
+		go func() {
+			select {
+			case <-w.ctx.Done():
+			case <-time.After(late):
+				w.SendCopy(to, rep)
+			}
+		}()
+	}
+}
+
+// SendCopy sends a report as the network might that kept a copy of it.
+func (w *World) SendCopy(to string, rep *wire.Report) {
+	c := mphttp.New(w.via("copies"), 1, 1, time.Second)
+	defer c.Close()
+	ctx, cancel := context.WithTimeout(w.ctx, 4*time.Second)
+	defer cancel()
+	_ = c.Do(ctx, "POST", to, wire.PathReport, rep, &wire.ReportAnswer{}, wire.MaxBody)
+}
+
+// Users is where a node takes requests.
+func (w *World) Users(node int) string { return w.nodes[node].bind }
+
 // Break has every task of a job fail wherever it starts.
 func (w *World) Break(id string) {
 	w.mu.Lock()
@@ -247,6 +287,16 @@
 	w.Net.Cut(w.nodes[node].name, w.at.State, apart)
 }
 
+// Island parts a node from the state service and the other controllers, not from its workers.
+func (w *World) Island(node int, apart bool) {
+	w.CutState(node, apart)
+	for o := range w.nodes {
+		if o != node {
+			w.CutNode(node, o, apart)
+		}
+	}
+}
+
 // CutCloud parts a node from the cloud.
 func (w *World) CutCloud(node int, apart bool) {
 	w.Net.Cut(w.nodes[node].name, w.at.Cloud, apart)
@@ -342,6 +392,11 @@
 		return 0, nil, nil, nil
 	}
 	before := w.Referee.Before(id)
+	defer func() {
+		if what == "poll" && code != http.StatusOK {
+			w.Referee.Unanswered(id)
+		}
+	}()
 	resp, err := c.Do(req)
 	if err != nil {
 		return 0, nil, nil, nil
