Know when the leases of a cut zone are over by the other controllers' word

Replicas were down for 31 s and more, and the room of what was gone was not given to others. Ruled out: a shorter silence before a zone counts as cut (it saves seconds).

Each controller keeps when it last answered which machine; once the suspicion is committed the leader asks the others, who renew none of them any more, and the lease counts from the last of these times. One that can't be asked brings the bound back. Idle machines of a cut zone get no work: it waited there for the end of the cut.

--- a/internal/controller/house.go
+++ b/internal/controller/house.go
@@ -289,6 +289,7 @@
 		}
 	}
 	n.judgeSelf(r, up, mute)
+	n.askRenewals(r)
 	ask := false
 	look := time.Since(r.lastLate) > lateEvery
 	if look {
@@ -322,7 +323,7 @@
 		}
 		cut = cut || now < r.cutUntil[mc.Zone]
 		switch {
-		case mc.Suspect && mc.Lapsed(n.set.KeepBound(), config.Seconds(n.set.Params.Workers.LeaseS), now) && len(mc.Runs) > 0:
+		case mc.Suspect && mc.Lapsed(n.set.KeepBound(), n.lease(), n.ownRenewal(mc), now, len(n.set.Members)) && len(mc.Runs) > 0:
 			n.log.Info("the lease of a suspect machine has run out", "machine", mc.Info.Name, "tasks", len(mc.Runs))
 			n.propose(&model.Entry{Kind: model.EntryLapsed, Machine: mc.ID})
 			n.dirty = true
@@ -334,6 +335,9 @@
 				n.giveUp(mc, "it is silent")
 				continue
 			}
+			// Idle ones, too: what was placed on them would wait for the end of the cut.
+			mc.FoundDeaf(now)
+			n.m.Try(mc)
 			if !mc.Suspect && len(mc.Runs) > 0 {
 				ask = true
 				if !n.goesOn(r, n.m.Zones.Name(mc.Zone)) {
--- a/internal/controller/node.go
+++ b/internal/controller/node.go
@@ -32,6 +32,7 @@
 	"fieldhill/internal/operate"
 	"fieldhill/internal/oplog"
 	"fieldhill/internal/peer"
+	"fieldhill/internal/renewal"
 	"fieldhill/internal/rent"
 	"fieldhill/internal/sched"
 	"fieldhill/internal/standby"
@@ -84,6 +85,7 @@
 	leader    *oplog.Leader
 	caught    time.Time            // the replica was complete then
 	inTouch   time.Time            // the state service answered a watch, or the load, then
+	book      *renewal.Book        // whose lease this process renewed when; it outlives the lead
 	keepUntil map[string]time.Time // workers that don't reach the leader, and until when they are not sent to it
 	apartSaid time.Time            // when this node last told the leader that it does not reach it
 	snapEvery int                  // batches between two snapshots
@@ -105,53 +107,54 @@
 
 // role is what a leader has.
 type role struct {
-	ld          oplog.Leader
-	until       time.Time    // the lead is trusted until then
-	trust       atomic.Int64 // the same, for others than the loop
-	committed   uint64
-	writing     bool
-	wroteAt     time.Time
-	queue       [][]byte // batches not yet handed to the writer; the last one grows
-	urgent      bool     // the queue holds what somebody waits for
-	queuedAt    time.Time
-	batches     chan oplog.Batch
-	waiters     []waiter
-	placeFrom   time.Time
-	lowMost     int // low tasks to be placed in a round
-	sinceSnap   int
-	compact     chan snapshot
-	hires       int
-	orders      map[string]rent.Order // rentals that are asked for, by name
-	desk        *rent.Desk
-	cancel      context.CancelFunc
-	ctx         context.Context
-	lastFleet   time.Time
-	lastSummary time.Time
-	lastLate    time.Time
-	said        map[model.JobID]why.Code // why jobs wait, as logged
-	cloudDown   bool                     // it did not list the machines when last asked
-	touched     map[*model.Machine]bool  // have something to be told
-	later       map[*model.Machine]bool  // will have, once the log has it
-	cutUntil    map[int32]model.Time     // zones that are cut off, or were until recently
-	apart       map[string]*apart        // what was seen of nodes that this one does not reach
-	asking      bool                     // which nodes are apart
-	lastAsked   time.Time
-	heard       model.Time      // when any machine was last heard of
-	unheard     time.Time       // since when hardly any machine is heard of; zero: some are
-	dropping    map[uint64]bool // jobs of the intake that the log has, whose records are being deleted
-	drops       []uint64        // those of them that may go now
-	dropBusy    bool
-	lookAgain   bool             // at the intake, after that
-	leaving     bool             // the lead is being handed over
-	line        standby.Timeline // of the takeover
-	lineSaid    bool
-	errs        chan error
-	probes      chan struct{}           // room for machines that are being asked
-	inVain      map[*model.Machine]bool // asked, without an answer, and not heard of in this term
-	zones       map[int32]*zoneAsked    // what came of asking, by zone
-	strangers   map[string]bool         // machines that nobody knows, and that are being asked
-	asks        int                     // machines that are being asked because of what they said
-	reports     int                     // how often any machine was heard of in this term
+	ld            oplog.Leader
+	until         time.Time    // the lead is trusted until then
+	trust         atomic.Int64 // the same, for others than the loop
+	committed     uint64
+	writing       bool
+	wroteAt       time.Time
+	queue         [][]byte // batches not yet handed to the writer; the last one grows
+	urgent        bool     // the queue holds what somebody waits for
+	queuedAt      time.Time
+	batches       chan oplog.Batch
+	waiters       []waiter
+	placeFrom     time.Time
+	lowMost       int // low tasks to be placed in a round
+	sinceSnap     int
+	compact       chan snapshot
+	hires         int
+	orders        map[string]rent.Order // rentals that are asked for, by name
+	desk          *rent.Desk
+	cancel        context.CancelFunc
+	ctx           context.Context
+	lastFleet     time.Time
+	lastSummary   time.Time
+	lastLate      time.Time
+	said          map[model.JobID]why.Code // why jobs wait, as logged
+	cloudDown     bool                     // it did not list the machines when last asked
+	touched       map[*model.Machine]bool  // have something to be told
+	later         map[*model.Machine]bool  // will have, once the log has it
+	cutUntil      map[int32]model.Time     // zones that are cut off, or were until recently
+	apart         map[string]*apart        // what was seen of nodes that this one does not reach
+	asking        bool                     // which nodes are apart
+	lastAsked     time.Time
+	askedRenewals time.Time       // when the others were last asked whose lease they renewed
+	heard         model.Time      // when any machine was last heard of
+	unheard       time.Time       // since when hardly any machine is heard of; zero: some are
+	dropping      map[uint64]bool // jobs of the intake that the log has, whose records are being deleted
+	drops         []uint64        // those of them that may go now
+	dropBusy      bool
+	lookAgain     bool             // at the intake, after that
+	leaving       bool             // the lead is being handed over
+	line          standby.Timeline // of the takeover
+	lineSaid      bool
+	errs          chan error
+	probes        chan struct{}           // room for machines that are being asked
+	inVain        map[*model.Machine]bool // asked, without an answer, and not heard of in this term
+	zones         map[int32]*zoneAsked    // what came of asking, by zone
+	strangers     map[string]bool         // machines that nobody knows, and that are being asked
+	asks          int                     // machines that are being asked because of what they said
+	reports       int                     // how often any machine was heard of in this term
 }
 
 type snapshot struct {
@@ -182,6 +185,7 @@
 		n.links[m.Node] = peer.NewLink(via, m.Node, m.Addr, logger)
 	}
 	n.stand = newStand(set, n.links, n.now)
+	n.book = renewal.NewBook(n.now())
 	n.gap, n.snapEvery = minGap, snapEvery
 	if opt.Duties {
 		n.duties = newDuties(set.Node)
--- a/internal/controller/users.go
+++ b/internal/controller/users.go
@@ -143,6 +143,8 @@
 		return n.cancelHere(ctx, c.ID)
 	case peer.OpDuty:
 		return n.heardOfDuty(ctx, c)
+	case peer.OpRenewed:
+		return n.tellRenewals(ctx, c)
 	}
 	return api.Refuse(http.StatusNotImplemented, "unknown operation")
 }
--- a/internal/controller/workers.go
+++ b/internal/controller/workers.go
@@ -65,6 +65,7 @@
 		// It may be a copy from the past, or the word of a worker that began anew. It is answered, which is nothing to
 		// whoever is not there, and asked.
 		n.ask1(mc, nil)
+		n.renews(r.Machine)
 		send(api.Encode(http.StatusOK, &wire.ReportAnswer{Token: n.m.Token(mc), Commands: []wire.Command{}}))
 		return
 	}
@@ -76,6 +77,7 @@
 
 // tellMachine is the answer to the report of a machine that was taken in.
 func (n *Node) tellMachine(mc *model.Machine) *peer.Reply {
+	n.renews(mc.Info.Name)
 	mc.Ear.Tell(n.m.Token(mc))
 	return api.Encode(http.StatusOK, &wire.ReportAnswer{Token: n.m.Token(mc), Commands: n.m.Commands(mc, n.role.committed, true)})
 }
@@ -301,6 +303,7 @@
 			cmds = append(cmds, wire.Command{Verb: wire.Stop, Task: t.Task, Attempt: t.Attempt, GraceS: new(float64)})
 		}
 	}
+	n.renews(r.Machine)
 	return api.Encode(http.StatusOK, &wire.ReportAnswer{Token: r.Token, Commands: cmds})
 }
 
--- a/internal/model/model_test.go
+++ b/internal/model/model_test.go
@@ -404,11 +404,11 @@
 	apply(EntryTrust, 6*time.Second)
 	apply(EntrySuspect, 10*time.Second)
 	mc.SuspicionKnown(9, 10*time.Second) // the first one is committed, the second is not
-	if mc.Lapsed(bound, lease, time.Hour) || mc.Usable() {
+	if mc.Lapsed(bound, lease, 0, time.Hour, 2) || mc.Usable() {
 		t.Error("gone before the entry was committed, or still in use")
 	}
 	mc.SuspicionKnown(11, 11*time.Second)
-	if mc.Lapsed(bound, lease, mc.SuspectFrom+bound+lease+Time(0.9e9)) || !mc.Lapsed(bound, lease, mc.SuspectFrom+bound+lease+Time(1.2e9)) {
+	if mc.Lapsed(bound, lease, 0, mc.SuspectFrom+bound+lease+Time(0.9e9), 2) || !mc.Lapsed(bound, lease, 0, mc.SuspectFrom+bound+lease+Time(1.2e9), 2) {
 		t.Error("not gone a second after the bound and the lease")
 	}
 	again := New(params())
@@ -416,11 +416,11 @@
 		t.Fatal(err)
 	}
 	again.BeginTerm(4<<24, time.Minute)
-	if o := again.Machines[1]; !o.Suspect || o.Lapsed(bound, lease, time.Minute+bound+lease) || !o.Lapsed(bound, lease, 2*time.Minute) {
+	if o := again.Machines[1]; !o.Suspect || o.Lapsed(bound, lease, 0, time.Minute+bound+lease, 2) || !o.Lapsed(bound, lease, 0, 2*time.Minute, 2) {
 		t.Error("a new leader does not count from its own election")
 	}
 	apply(EntryTrust, 12*time.Second)
-	if mc.Lapsed(bound, lease, time.Hour) || !mc.Usable() || len(mc.Runs) != 1 {
+	if mc.Lapsed(bound, lease, 0, time.Hour, 2) || !mc.Usable() || len(mc.Runs) != 1 {
 		t.Error("the suspicion was not taken back")
 	}
 	apply(EntrySuspect, 13*time.Second)
--- a/internal/model/observe.go
+++ b/internal/model/observe.go
@@ -2,6 +2,7 @@
 
 import (
 	"fieldhill/internal/hearing"
+	"fieldhill/internal/renewal"
 	"fieldhill/wire"
 )
 
@@ -38,7 +39,7 @@
 		if mc.SuspectFrom = 0; mc.Suspect {
 			mc.SuspectFrom = now
 		}
-		mc.unsure, mc.dead = nil, nil
+		mc.unsure, mc.dead, mc.Renewals = nil, nil, renewal.Proof{}
 		for _, r := range mc.Runs {
 			r.setPhase(Unseen)
 			r.Inherited, r.answerSeq, r.Stop = true, 0, false
@@ -46,14 +47,21 @@
 	}
 }
 
-// Lapsed tells whether the lease of a suspect machine has surely run out: bound is
-// how long a node may go on with an old copy of the log.
-func (mc *Machine) Lapsed(bound, lease, now Time) bool {
-	const drift = 500 // clocks differ by up to a twentieth of a per cent; four times that is allowed for
-	wait := bound + lease
-	return mc.Suspect && mc.SuspectFrom > 0 && now-mc.SuspectFrom > wait+wait/drift+Time(1e9)
+// Lapsed tells whether the lease of a suspect machine has surely run out: since all that may have renewed it told when they last did (own is when
+// this node did; others is how many there are besides it), or, where not all did, by the bound for which any node may go on with an old copy of the log.
+func (mc *Machine) Lapsed(bound, lease, own, now Time, others int) bool {
+	if !mc.Suspect || mc.SuspectFrom == 0 {
+		return false
+	}
+	if from, all := mc.Renewals.From(others, own); all && renewal.Over(from, lease, now) {
+		return true
+	}
+	return renewal.Over(mc.SuspectFrom, bound+lease, now)
 }
 
+// SuspectAt is the log's number of the entry that made a machine suspect.
+func (mc *Machine) SuspectAt() uint64 { return mc.suspectSeq }
+
 // SuspicionKnown notes that the entry with a number, which made a machine suspect,
 // is committed now. An earlier one of several says nothing: between the two the
 // machine was trusted, and a node that read so far may renew its lease.
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -43,7 +43,8 @@
 	OpCancel
 	OpWhy // this and the next one: a node that does not know them answers 501
 	OpQueue
-	OpDuty // what came of a duty, under its term
+	OpDuty    // what came of a duty, under its term
+	OpRenewed // when the leases of a zone's machines were last renewed, by a node that has applied a batch
 )
 
 // Call is a request to another controller.
--- a/internal/standin/world.go
+++ b/internal/standin/world.go
@@ -234,6 +234,9 @@
 	_ = c.Do(ctx, "POST", to, wire.PathReport, rep, &wire.ReportAnswer{}, wire.MaxBody)
 }
 
+// House has a node, which does not run, stand in a zone from its next start on.
+func (w *World) House(node int, zone string) { w.nodes[node].zone = zone }
+
 // Users is where a node takes requests.
 func (w *World) Users(node int) string { return w.nodes[node].bind }
 
