Have gangs and services go where their image is, and members of a gang meet

Room by stopping others was made where that did least harm, whatever the fetch. Services found room at holders only where low work was, and these arrays are normal. Ruled out: a replacement under the same attempt (a late command that forgets and starts it could run it twice).

Change: room is made where harm and fetch together cost least, in CPU seconds; low work leaves holders for a gang if less is undone by that than its members would lose; a member that has the image is told to start when those that fetch for more than half the wait are there; a gang that failed to meet is not stopped before such fetches ended. TestGangMeets, TestGangAtHolders.

--- a/internal/controller/workers.go
+++ b/internal/controller/workers.go
@@ -216,6 +216,9 @@
 	for _, j := range v.Faulty {
 		n.log.Info("job fails on every machine: it is tried again with growing pauses", "job", j.Spec.ID, "class", j.Spec.Class, "failures", j.Errors)
 	}
+	for _, o := range v.Meet {
+		n.touch(o)
+	}
 	if len(v.Entries) > 0 {
 		n.touch(mc) // the worker is told to forget what is logged
 	}
--- a/internal/model/clone.go
+++ b/internal/model/clone.go
@@ -16,7 +16,7 @@
 		Jobs: make(map[JobID]*Job, len(m.Jobs)), Finals: map[JobID]Final{}, Machines: make(map[MachineID]*Machine, len(m.Machines)),
 		ByName: map[string]*Machine{}, teamByName: map[string]*Team{}, Types: slices.Clone(m.Types), Tombs: map[string]bool{},
 		NextMachine: m.NextMachine, jobOrder: m.jobOrder, LiveTasks: m.LiveTasks, finalSeq: map[JobID]uint64{},
-		bias: slices.Clone(m.bias), ByClass: slices.Clone(m.ByClass), ByTeam: slices.Clone(m.ByTeam), TermBase: m.TermBase,
+		bias: slices.Clone(m.bias), ByClass: slices.Clone(m.ByClass), ByTeam: slices.Clone(m.ByTeam), TermBase: m.TermBase, GangWait: m.GangWait,
 	}
 	for i := range c.Types {
 		c.Types[i].ZoneIDs = slices.Clone(c.Types[i].ZoneIDs)
--- /dev/null
+++ b/internal/model/meet_test.go
@@ -0,0 +1,56 @@
+package model
+
+import (
+	"testing"
+
+	"fieldhill/internal/config"
+	"fieldhill/wire"
+)
+
+// TestGangMeets: of a gang whose image takes longer to fetch than its members wait for each other, the member that has it is told to start
+// once the one that fetches has it too. Where the fetch is short nothing waits.
+func TestGangMeets(t *testing.T) {
+	for _, c := range []struct {
+		gb    float64
+		waits bool
+	}{{30, true}, {5, false}} {
+		p := params()
+		p.Workers = config.Workers{GangWaitS: 35}
+		m := New(p)
+		s := spec(7, 2)
+		s.Shape, s.ImageGB, s.Team = wire.Gang, c.gb, "blue"
+		for i, e := range []*Entry{
+			{Kind: EntryType, Type: &wire.MachineType{Name: "t", CPUs: 4, MemoryGB: 8, CacheGB: 50, FetchGBPerS: 1, Zones: []string{"a"}}},
+			{Kind: EntryMachine, Machine: 1, Info: info("host-1")}, {Kind: EntryMachine, Machine: 2, Info: info("host-2")},
+			{Kind: EntryAccept, Job: 7, Spec: s},
+			{Kind: EntryPlace, Job: 7, Task: 0, Attempt: 1, Machine: 1, Session: 1}, {Kind: EntryPlace, Job: 7, Task: 1, Attempt: 1, Machine: 2, Session: 1},
+		} {
+			if err := m.Apply(e, uint64(i+1), 0); err != nil {
+				t.Fatal(err)
+			}
+		}
+		j, has, fetches := m.Jobs[7], m.Machines[1], m.Machines[2]
+		m.TermBase = 3 << 24
+		m.Observe(has, report(1, 1, 3<<24), nil, 0)
+		m.Observe(fetches, report(1, 1, 3<<24), nil, 0)
+		has.Touch(m, j, 0)
+		if got := len(m.Commands(has, 9, false)) == 0; got != c.waits {
+			t.Errorf("%g GB: the member that has the image waits %v", c.gb, got)
+		}
+		if k := len(m.Commands(fetches, 9, false)); k != 1 {
+			t.Errorf("%g GB: the member that fetches got %d commands", c.gb, k)
+		}
+		state := func(seq uint64, state string) Verdict {
+			return m.Observe(fetches, report(1, seq, 3<<24, wire.TaskStatus{Task: "req-000007/1", Attempt: 1, State: state}), nil, 1)
+		}
+		if v := state(2, wire.TaskFetching); len(v.Meet) != 0 {
+			t.Errorf("%g GB: told to meet while it fetches", c.gb)
+		}
+		if v := state(3, wire.TaskWaiting); len(v.Meet) != 1 || v.Meet[0] != has {
+			t.Errorf("%g GB: nobody is told that the member is there", c.gb)
+		}
+		if k := len(m.Commands(has, 9, false)); k != 1 {
+			t.Errorf("%g GB: then it got %d commands", c.gb, k)
+		}
+	}
+}
--- a/internal/model/model.go
+++ b/internal/model/model.go
@@ -347,6 +347,7 @@
 	settled                           int    // how many of inOrder are settled
 	Types                             []Type // by type index
 	Tombs                             map[string]bool
+	GangWait                          Time // how long a gang's member waits for the others, by the platform
 	tombRing                          []string
 	NextMachine                       MachineID
 	Intents                           []Intent // rentals that may be under way, in the order of the log
@@ -364,7 +365,7 @@
 	m := &Model{
 		Jobs: map[JobID]*Job{}, Finals: map[JobID]Final{}, Machines: map[MachineID]*Machine{},
 		ByName: map[string]*Machine{}, teamByName: map[string]*Team{}, Tombs: map[string]bool{},
-		finalSeq: map[JobID]uint64{}, NextMachine: 1,
+		finalSeq: map[JobID]uint64{}, NextMachine: 1, GangWait: config.Seconds(p.Workers.GangWaitS),
 	}
 	for _, t := range p.Teams {
 		team := &Team{Team: t, Index: len(m.Teams)}
--- a/internal/model/observe.go
+++ b/internal/model/observe.go
@@ -78,8 +78,9 @@
 type Verdict struct {
 	Sense   hearing.Sense // what the report proves; Old and Unproven: nothing of now
 	Entries []*Entry
-	Faulty  []*Job // jobs that this report shows to fail everywhere
-	Slow    bool   // the report shows the machine to be slow
+	Faulty  []*Job     // jobs that this report shows to fail everywhere
+	Slow    bool       // the report shows the machine to be slow
+	Meet    []*Machine // whose gangs' members may be told to start now
 }
 
 // Stale tells whether the report proves nothing of now: the machine is to be asked.
@@ -244,6 +245,9 @@
 	}
 	if !exited {
 		if run.Phase >= Gathering {
+			if !mc.Has(run.Job.Image) {
+				v.Meet = append(v.Meet, run.Job.meet()...)
+			}
 			mc.Touch(m, run.Job, now)
 		}
 		if run.Phase >= Running && run.StartedAt == 0 {
@@ -368,6 +372,9 @@
 		c := wire.Command{Task: wire.TaskID(uint64(r.Job.ID), int(r.Task)), Attempt: uint64(r.Attempt)}
 		switch {
 		case r.Wanted() && r.Phase == Unseen && committed >= r.Seq:
+			if m.holds(r) {
+				continue
+			}
 			c.Verb = wire.Start
 			if viaAnswer {
 				r.answerSeq = mc.Ear.Number().Seq
--- a/internal/sched/gang.go
+++ b/internal/sched/gang.go
@@ -5,6 +5,7 @@
 	"slices"
 	"sort"
 
+	"fieldhill/internal/config"
 	"fieldhill/internal/model"
 	"fieldhill/internal/why"
 )
@@ -19,6 +20,9 @@
 		j.Why = why.Reason{Code: why.Ending, N: j.Live}
 		for i := range j.Tasks {
 			if r := j.Tasks[i].Run; r != nil && !r.Stop {
+				if r.Phase == model.Fetching && m.LongFetch(j, r.Machine) {
+					continue // its fetch would be given up, and begin anew with the next attempt
+				}
 				do.Stop(r, false, "the gang lost a member")
 			}
 		}
@@ -55,6 +59,10 @@
 				s.makeTeamRoom(j, n, leave, now, do)
 				return
 			}
+			if s.roomAtHolders(m, t, n, plan, now, do) {
+				j.Why = why.Reason{Code: why.Making}
+				return
+			}
 			for _, st := range plan {
 				s.put(m, j, st, j.NextWaiting(), attempt+1, s.score(locality(m, j, st.mc), load(m, st.mc)), do)
 			}
@@ -172,6 +180,34 @@
 	if s.held && !s.plain && j.FailedOn == nil && s.crowded(hard, n, j.Spec.SameZone) {
 		return false
 	}
+	best, _ := s.cheapest(m, t, n, now)
+	whole := len(best) == n
+	if !whole {
+		if j.FailedOn == nil {
+			s.gangs = append(s.gangs, gangShape{hard, n, j.Spec.SameZone})
+		}
+		if s.held {
+			return false
+		}
+		s.held = true
+	}
+	patient := s.Early || now-j.Began < s.patience(j)
+	for _, o := range best {
+		o.st.claim = o.st.claim.Plus(t.need)
+		if whole && !patient { // nothing is stopped for a part of a gang
+			for _, r := range o.runs {
+				do.Stop(r, false, "room for "+j.Spec.ID)
+			}
+			o.st.left = false
+		}
+	}
+	return whole
+}
+
+// cheapest finds the room for a gang, or for as many members as possible, that costs least: what is undone by stopping others, and
+// what the members lose while the image is fetched.
+func (s *Sched) cheapest(m *model.Model, t *turn, n int, now model.Time) (best []option, bestCost float64) {
+	j := t.j
 	zones := map[int32][]option{} // room for one more member each; runs are those of the earlier ones there too
 	could := map[int32]int{}      // members that find room when other gangs end
 	for i := range s.seats {
@@ -196,12 +232,10 @@
 			if !ok {
 				break
 			}
-			zones[zone] = append(zones[zone], option{st, cost - before, runs, i})
+			zones[zone] = append(zones[zone], option{st, cost - before + idles(m, j, st.mc), runs, i})
 			before = cost
 		}
 	}
-	var best []option
-	bestCost := 0.0
 	for zone, list := range zones {
 		if could[zone] < n {
 			continue
@@ -216,25 +250,49 @@
 			best, bestCost = list, cost
 		}
 	}
-	whole := len(best) == n
-	if !whole {
-		if j.FailedOn == nil {
-			s.gangs = append(s.gangs, gangShape{hard, n, j.Spec.SameZone})
-		}
-		if s.held {
-			return false
+	return best, bestCost
+}
+
+// roomAtHolders makes room for a gang on machines that have its image, though there are free ones that have not, if less is undone by that
+// than its members would lose while they fetch. That is DAD's wait for a busy holder as far as a gang can use it: where an image takes ten
+// times as long as the two rounds, low work leaves a holder within a moment, and members that fetch for very different times would not meet before
+// the first of them gives up. It tells whether the gang waits for that, which it does for a part of its time only.
+func (s *Sched) roomAtHolders(m *model.Model, t *turn, n int, plan []*seat, now model.Time, do Doer) bool {
+	j := t.j
+	if s.Early || j.Spec.Spread || j.Faulty {
+		return false
+	}
+	slowest := 0.0
+	for _, st := range plan {
+		slowest = max(slowest, fetchS(m, j, st.mc))
+	}
+	within, ok := s.startWithin(j)
+	if !ok || slowest == 0 || j.LocalSince != 0 && now-j.LocalSince > config.Seconds(within*0.15) {
+		return false
+	}
+	best, cost := s.cheapest(m, t, n, now)
+	if len(best) < n || cost >= slowest*max(j.Spec.CPUs, 0.1)*float64(n) {
+		return false
+	}
+	waits := false
+	for _, o := range best {
+		if fetchS(m, j, o.st.mc) >= slowest {
+			return false // its last member would start no sooner
 		}
-		s.held = true
+		waits = waits || len(o.runs) > 0 || !s.hasRoom(m, j, o.st, t.need)
+	}
+	if !waits {
+		return false
+	}
+	if j.LocalSince == 0 {
+		j.LocalSince = now
 	}
-	patient := s.Early || now-j.Began < s.patience(j)
 	for _, o := range best {
 		o.st.claim = o.st.claim.Plus(t.need)
-		if whole && !patient { // nothing is stopped for a part of a gang
-			for _, r := range o.runs {
-				do.Stop(r, false, "room for "+j.Spec.ID)
-			}
-			o.st.left = false
+		for _, r := range o.runs {
+			do.Stop(r, false, "room where its image is, for "+j.Spec.ID)
 		}
+		o.st.left = false
 	}
-	return whole
+	return true
 }
--- a/internal/sched/move.go
+++ b/internal/sched/move.go
@@ -66,7 +66,7 @@
 				do.Stop(r, false, "its machine is to be returned")
 				return true
 			}
-			if runs, cost, ok := s.victims(j, st, need, model.Low, now); ok && len(runs) > 0 && (best.st == nil || cost < best.cost) {
+			if runs, cost, ok := s.victims(j, st, need, model.Normal, now); ok && len(runs) > 0 && (best.st == nil || cost < best.cost) {
 				best, bestNeed = option{st: st, cost: cost, runs: runs}, need
 			}
 		}
--- a/internal/sched/placing.go
+++ b/internal/sched/placing.go
@@ -204,12 +204,12 @@
 			!st.total.Minus(Firm(st.mc)).Minus(st.claim).Holds(t.need) {
 			continue
 		}
-		if runs, cost, ok := s.victims(j, st, t.need, model.Low, now); ok {
+		if runs, cost, ok := s.victims(j, st, t.need, model.Normal, now); ok {
 			opts = append(opts, option{st, cost, runs, i})
 		}
 	}
 	found := len(opts) > 0
-	s.claimBest(j, t.need, opts, model.Low, true, "room where its image is, for "+j.Spec.ID, now, do)
+	s.claimBest(m, j, t.need, opts, model.Normal, true, "room where its image is, for "+j.Spec.ID, now, do)
 	if found && (j.LocalSince == 0 || now-j.LocalSince >= localAgain) {
 		j.LocalSince = now
 	}
--- a/internal/sched/preempt.go
+++ b/internal/sched/preempt.go
@@ -42,6 +42,25 @@
 	return 1 + lost*max(r.Job.Spec.CPUs, 0.1)
 }
 
+// fetchS is how many seconds a machine takes to have a job's image, with the fetches that share the line; 0: it has it.
+func fetchS(m *model.Model, j *model.Job, mc *model.Machine) float64 {
+	rate := m.TypeOf(mc).FetchGBPerS
+	if rate <= 0 || mc.Has(j.Image) {
+		return 0
+	}
+	this, gb := mc.Fetches(j.Image)
+	if !this {
+		gb += j.Spec.ImageGB
+	}
+	return gb / rate
+}
+
+// idles is what a task of a job costs, in CPU seconds, while its machine fetches its image: its place is taken and it does nothing. It stands beside
+// the harm of stopping others, so that room is made where the image is unless that undoes more than the fetch takes.
+func idles(m *model.Model, j *model.Job, mc *model.Machine) float64 {
+	return fetchS(m, j, mc) * max(j.Spec.CPUs, 0.1)
+}
+
 // option is a machine on which a task would find room once some runs are stopped.
 type option struct {
 	st   *seat
@@ -99,11 +118,11 @@
 			continue
 		}
 		if runs, cost, ok := s.victims(j, st, t.need, model.Production, now); ok {
-			opts = append(opts, option{st, cost, runs, i})
+			opts = append(opts, option{st, cost + idles(m, j, st.mc), runs, i})
 		}
 	}
 	patient := s.Early || now-j.Began < s.patience(j)
-	left := s.claimBest(j, t.need, opts, model.Production, !patient, "room for "+j.Spec.ID, now, do)
+	left := s.claimBest(m, j, t.need, opts, model.Production, !patient, "room for "+j.Spec.ID, now, do)
 	if left > 0 && !limited && !j.Spec.Spread && j.FailedOn == nil {
 		s.stuck = append(s.stuck, shape{k, t.need})
 	}
@@ -112,7 +131,7 @@
 
 // claimBest claims room for the waiting tasks of a job where it costs least, and
 // stops what is in the way, up to a priority, if it may. It returns how many found none.
-func (s *Sched) claimBest(j *model.Job, need Room, opts options, most model.Priority, stop bool, why string, now model.Time, do Doer) int {
+func (s *Sched) claimBest(m *model.Model, j *model.Job, need Room, opts options, most model.Priority, stop bool, why string, now model.Time, do Doer) int {
 	heap.Init(&opts)
 	inZone := map[int32]int{} // claimed by this job
 	left := min(j.Waiting(), mostClaims)
@@ -135,6 +154,7 @@
 		}
 		var ok bool
 		if o.runs, o.cost, ok = s.victims(j, o.st, need, most, now); ok {
+			o.cost += idles(m, j, o.st.mc)
 			heap.Fix(&opts, 0)
 		} else {
 			heap.Pop(&opts)
@@ -149,7 +169,7 @@
 }
 
 // victims finds runs of at most a priority whose end makes room on a machine, least
-// harm first.
+// harm first. Up to normal rank these are tasks of arrays: they leave within a moment, and nobody waits for them.
 func (s *Sched) victims(j *model.Job, st *seat, need Room, most model.Priority, now model.Time) ([]*model.Run, float64, bool) {
 	room := st.total.Minus(used(st.mc)).Plus(st.leaving()).Minus(st.claim)
 	if room.Holds(need) {
@@ -158,7 +178,7 @@
 	pool := s.pool[:0]
 	could := room
 	for _, r := range st.mc.Runs {
-		if r.Job.Priority <= most && mayStop(r, j) {
+		if r.Job.Priority <= most && mayStop(r, j) && (most > model.Normal || notByTurns(r.Job)) {
 			pool = append(pool, victim{r, harm(r, now)})
 			could = could.Plus(Need(r.Job))
 		}
--- a/internal/sched/sched_test.go
+++ b/internal/sched/sched_test.go
@@ -664,3 +664,32 @@
 		t.Errorf("later %d tasks of the array are placed", array.Live)
 	}
 }
+
+// TestGangAtHolders: low work makes room for a gang where its image is, if less is undone by that than the gang would lose while free
+// machines fetch the image; it does not where the fetch is short.
+func TestGangAtHolders(t *testing.T) {
+	for _, c := range []struct {
+		gb   float64
+		stop bool
+	}{{40, true}, {2, false}} {
+		w := newWorld(t, 6)
+		s := New(Params{Beta: 0.8, Threshold: 0.5, Objectives: []config.Objective{{Kind: "wait", Class: "g", WithinS: 60, Share: 0.9}}})
+		gang := w.submit(9, func(s *wire.JobSpec) {
+			s.Class, s.Shape, s.Priority, s.Tasks, s.CPUs, s.Image, s.ImageGB = "g", wire.Gang, wire.High, 2, 4, "big", c.gb
+		})
+		low := w.submit(1, func(s *wire.JobSpec) { s.Tasks = 8 })
+		for i, id := range []model.MachineID{1, 2} { // both have the gang's image, and are full of low work
+			mc := w.m.Machines[id]
+			mc.Touch(w.m, gang, 0)
+			for k := range 4 {
+				task := int32(4*i + k)
+				w.apply(&model.Entry{Kind: model.EntryPlace, Job: 1, Task: task, Attempt: 1, Machine: id, Session: 1})
+				low.Tasks[task].Run.StartedAt = 1e9
+			}
+		}
+		s.Round(w.m, 3e9, true, w)
+		if stopped := len(w.stopped) > 0; stopped != c.stop || c.stop != (gang.Live == 0) {
+			t.Errorf("image of %g GB: %d stopped, %d members placed, waits for %q", c.gb, len(w.stopped), gang.Live, gang.Why)
+		}
+	}
+}
