--- /dev/null
+++ b/internal/controller/known_test.go
@@ -0,0 +1,90 @@
+package controller
+
+import (
+	"flag"
+	"sync"
+	"testing"
+	"time"
+
+	"fieldhill/internal/model"
+	"fieldhill/internal/standin"
+	"fieldhill/wire"
+)
+
+var history = flag.Int("history", 20_000, "finished jobs that TestKnownAgain has behind it")
+
+// TestKnownAgain: after the end of all controllers at once every job is answered for within a bound, the live ones and those that ended long
+// ago, with everybody asking at the same time, the state service's limits, and a snapshot of many finished jobs to be read; also where the
+// state service answers thirty times slower. The worst case is the sum in docs/DESIGN.md ("Known").
+func TestKnownAgain(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		slow time.Duration
+		most time.Duration
+	}{{"as usual", 3 * time.Millisecond, 8 * time.Second}, {"thirty times slower", 90 * time.Millisecond, 15 * time.Second}} {
+		t.Run(c.name, func(t *testing.T) {
+			inWorld(t, 51, func(w *standin.World) {
+				w.State.Limit(w.Params.State.RPS, w.Params.State.WriteRPS)
+				settle(w, 5)
+				n := nodeAt(leaderOf())
+				n.ask(func() {
+					for k := range *history {
+						n.m.Finals[model.JobID(100_000+k)] = model.FinalDone
+					}
+					n.snapEvery = 0 // the next batch is followed by a compaction
+				})
+				w.Submit(web(6, 0.5, "small"))
+				time.Sleep(20 * time.Second)
+				w.State.SetSlow(c.slow)
+				for i := range 3 {
+					w.Kill(i)
+				}
+				time.Sleep(200 * time.Millisecond)
+				for i := range 3 {
+					w.Start(i)
+				}
+				began := time.Now()
+				var mu sync.Mutex
+				worst, asked := time.Duration(0), 0
+				var wg sync.WaitGroup
+				for k := range 300 { // users poll about every five seconds, each its job
+					id := wire.JobID(uint64(1 + k%6))
+					if k >= 60 {
+						old := 100_000 + (k*997)%*history
+						id = wire.JobID(uint64(old))
+						w.Referee.Past(spec(old, wire.Array, 1, 5))
+					}
+					wg.Go(func() {
+						time.Sleep(time.Duration(k*17) * time.Millisecond)
+						last := began
+						for time.Since(began) < 40*time.Second {
+							code, s := w.Call("poll", id, nil)
+							if now := time.Now(); code == 200 {
+								mu.Lock()
+								worst, asked = max(worst, now.Sub(last)), asked+1
+								mu.Unlock()
+								last = now
+								if k >= 60 && s.State != wire.JobDone {
+									t.Errorf("%s is %s", id, s.State)
+								}
+							} else if code == 404 {
+								t.Errorf("%s is not known", id)
+							}
+							time.Sleep(5 * time.Second)
+						}
+						mu.Lock()
+						worst = max(worst, time.Since(last))
+						mu.Unlock()
+					})
+				}
+				wg.Wait()
+				t.Logf("%d answers, the longest time without one about a job %v", asked, worst)
+				if worst > c.most || asked == 0 { // a poll comes every five seconds
+					t.Errorf("no question about a job was answered for %v", worst)
+				}
+				w.State.SetSlow(3 * time.Millisecond)
+				time.Sleep(20 * time.Second)
+			})
+		})
+	}
+}
--- a/internal/controller/served_test.go
+++ b/internal/controller/served_test.go
@@ -160,6 +160,15 @@
 		}
 		time.Sleep(time.Second - time.Since(began))
 	}
+	for class, l := range w.Referee.Largest(time.Minute) {
+		t.Logf("largest of %s: %+v", class, *l)
+		if 2*l.Begun < l.Jobs {
+			t.Errorf("of the largest jobs of %s %d of %d began", class, l.Begun, l.Jobs)
+		}
+		if 2*l.Late > l.Jobs {
+			t.Errorf("of the largest jobs of %s %d of %d did not begin within four minutes", class, l.Late, l.Jobs)
+		}
+	}
 	classes, teams := w.Referee.Served()
 	for _, of := range []struct {
 		what   string
--- a/internal/standin/referee.go
+++ b/internal/standin/referee.go
@@ -57,6 +57,7 @@
 	cancelled time.Time
 	zones     map[int]string // where each task is
 	known     time.Time      // when its user began to submit it
+	begun     time.Time      // when its first task started, of a gang all at once; zero: not yet
 	unheard   time.Time      // since when no question about it was answered, all troubles over; zero: the last one was
 	upS       float64        // replicas' seconds, from replicaFrom on
 	wantedS   float64
@@ -85,6 +86,18 @@
 	f.jobs[n] = &truth{spec: s, done: map[int]bool{}, zones: map[int]string{}, known: time.Now()}
 }
 
+// Past tells the referee of a job that was done long ago.
+func (f *Referee) Past(s *wire.JobSpec) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	n, _ := wire.JobNumber(s.ID)
+	t := &truth{spec: s, done: map[int]bool{}, zones: map[int]string{}, accepted: true, told: wire.JobDone, known: time.Now()}
+	for k := range s.Tasks {
+		t.done[k] = true
+	}
+	f.jobs[n] = t
+}
+
 // Spec finds a job, as workers do.
 func (f *Referee) Spec(n uint64) *wire.JobSpec {
 	f.mu.Lock()
@@ -138,6 +151,9 @@
 	t.starts++
 	f.on[task][mc.Name] = true
 	t.zones[k] = mc.Zone
+	if t.begun.IsZero() && (s.Shape != wire.Gang || len(t.zones) == s.Tasks) {
+		t.begun = time.Now()
+	}
 	var cpus, gpus float64
 	for other, where := range f.on {
 		if o, _, _ := wire.ParseTaskID(other); f.jobs[o].spec.Team == s.Team {
--- a/internal/standin/served.go
+++ b/internal/standin/served.go
@@ -1,7 +1,9 @@
 package standin
 
 import (
+	"cmp"
 	"fmt"
+	"slices"
 	"time"
 
 	"fieldhill/wire"
@@ -75,3 +77,48 @@
 	}
 	return classes, teams
 }
+
+// beginsBy is how soon also the largest jobs are to begin.
+const beginsBy = 4 * time.Minute
+
+// Largest is how the largest jobs of a class were served: those of the most tasks, and the tenth that takes most.
+type Largest struct {
+	Jobs, Begun int
+	Late        int           // begun after more than four minutes, or waiting for longer
+	Worst       time.Duration // wait for the beginning, so far
+}
+
+// Largest counts them by class, of jobs that were not cancelled and came at least a while ago.
+func (f *Referee) Largest(since time.Duration) map[string]*Largest {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	by := map[string][]*truth{}
+	for _, t := range f.jobs {
+		if t.accepted && !t.asked && time.Since(t.known) >= since {
+			by[t.spec.Class] = append(by[t.spec.Class], t)
+		}
+	}
+	takes := func(t *truth) float64 { return float64(t.spec.Tasks) * (t.spec.CPUs + 8*t.spec.GPUs) }
+	out := map[string]*Largest{}
+	for class, list := range by {
+		slices.SortFunc(list, func(a, b *truth) int { return cmp.Compare(takes(b), takes(a)) })
+		most := slices.MaxFunc(list, func(a, b *truth) int { return cmp.Compare(a.spec.Tasks, b.spec.Tasks) }).spec.Tasks
+		l := &Largest{}
+		for i, t := range list {
+			if i >= (len(list)+9)/10 && t.spec.Tasks < most {
+				continue
+			}
+			wait := time.Since(t.known)
+			l.Jobs++
+			if !t.begun.IsZero() {
+				l.Begun++
+				wait = t.begun.Sub(t.known)
+			}
+			if l.Worst = max(l.Worst, wait); wait > beginsBy {
+				l.Late++
+			}
+		}
+		out[class] = l
+	}
+	return out
+}
