--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -9,6 +9,7 @@
 	"math"
 	"net/netip"
 	"os"
+	"slices"
 	"time"
 
 	"github.com/pelletier/go-toml/v2"
@@ -164,6 +165,14 @@
 	if len(p.Teams) == 0 {
 		return fmt.Errorf("params.teams: missing")
 	}
+	if len(p.Zones) == 0 {
+		return fmt.Errorf("params.zones: missing")
+	}
+	for i, z := range p.Zones {
+		if z == "" || slices.Contains(p.Zones[:i], z) {
+			return fmt.Errorf("params.zones[%d]: empty or given twice", i)
+		}
+	}
 	teams := map[string]bool{}
 	for i, t := range p.Teams {
 		if t.Name == "" || teams[t.Name] {
@@ -203,6 +212,9 @@
 	if p.Cloud.ListLagS < 0 || bad(p.Cloud.ListLagS) || p.TimeBoundMS < 0 || bad(p.TimeBoundMS) {
 		return fmt.Errorf("params.cloud.list_lag_s or params.time_bound_ms: invalid")
 	}
+	if w.LeaseS <= w.ReportS {
+		return fmt.Errorf("params.workers.lease_s: must be above report_s")
+	}
 	if w.CancelS <= w.LeaseS {
 		return fmt.Errorf("params.workers.cancel_s: must be above lease_s")
 	}
--- a/internal/controller/hearing_test.go
+++ b/internal/controller/hearing_test.go
@@ -221,7 +221,9 @@
 		t.Run(fmt.Sprint(d), func(t *testing.T) {
 			inWorld(t, 36, func(w *standin.World) {
 				settle(w, 5)
-				for i := range 3 { // one of them leads
+				first := leaderOf() // while there are idle machines
+				for k := range 3 {
+					i := (first + k) % 3
 					starts := w.Referee.Starts()
 					w.Island(i, true)
 					began := time.Now()
@@ -246,6 +248,18 @@
 						}
 					}
 					w.Cancel(j.ID)
+					if d > 20*time.Second {
+						// Idle machines, which the next leader does not ask, have found it: each worker was kept for 3 s and sent away.
+						time.Sleep(time.Until(began.Add(16 * time.Second)))
+						n := nodeAt(leaderOf())
+						n.ask(func() {
+							for _, mc := range n.m.Order {
+								if !mc.Reported {
+									t.Errorf("node %d: %s has not found the next leader after 16 s", i, mc.Info.Name)
+								}
+							}
+						})
+					}
 					time.Sleep(time.Until(began.Add(d)))
 					w.Island(i, false)
 					time.Sleep(20 * time.Second)
@@ -341,3 +355,41 @@
 		})
 	}
 }
+
+// TestDeadWhileCloudIsDown: what was on a machine that died starts elsewhere when its lease is surely over, though the cloud, which could prove
+// its end, is down. It used to wait for the end of the outage.
+func TestDeadWhileCloudIsDown(t *testing.T) {
+	inWorld(t, 38, func(w *standin.World) {
+		time.Sleep(6 * time.Second)
+		room := spec(20, wire.Array, 30, 600)
+		room.Team, room.Types = "blue", []string{"large"}
+		w.Submit(room)
+		time.Sleep(30 * time.Second)
+		for n := 1; n <= 4; n++ {
+			w.Submit(web(n, 3, "small", "large"))
+		}
+		time.Sleep(40 * time.Second)
+		if k := upOf(w, 4); k != 4 {
+			t.Fatalf("%d of 4 services run", k)
+		}
+		w.Cloud.SetOutage(true)
+		time.Sleep(5 * time.Second)
+		began := time.Now()
+		for _, wk := range w.Cloud.Up() {
+			if upOf(w, 4) == 4 && w.Referee.Holds(wk.Name) {
+				w.Cloud.Take(wk.Name)
+			}
+		}
+		if upOf(w, 4) == 4 {
+			t.Fatal("no service was lost")
+		}
+		if d := wholeAgain(w, 4, 2*time.Minute); d > 35*time.Second { // 24 s of lease, a second for clocks, a round and a fetch
+			t.Errorf("%d of 4 services run %v after the machine died", upOf(w, 4), time.Since(began))
+		}
+		w.Cloud.SetOutage(false)
+		time.Sleep(40 * time.Second)
+		if k := upOf(w, 4); k != 4 {
+			t.Errorf("%d of 4 services run at the end", k)
+		}
+	})
+}
