--- a/internal/controller/known_test.go
+++ b/internal/controller/known_test.go
@@ -6,12 +6,16 @@
 	"testing"
 	"time"
 
+	"fieldhill/internal/config"
 	"fieldhill/internal/model"
 	"fieldhill/internal/standin"
 	"fieldhill/wire"
 )
 
-var history = flag.Int("history", 20_000, "finished jobs that TestKnownAgain has behind it")
+var (
+	history  = flag.Int("history", 20_000, "finished jobs that TestKnownAgain has behind it")
+	machines = flag.Int("machines", 0, "so many machines TestKnownAgain has beside the usual ones, all with six tasks of arrays")
+)
 
 // TestKnownAgain: after the end of all controllers at once every job is answered for within a bound, the live ones and those that ended long
 // ago, with everybody asking at the same time, the state service's limits, and a snapshot of many finished jobs to be read; also where the
@@ -23,9 +27,19 @@
 		most time.Duration
 	}{{"as usual", 3 * time.Millisecond, 8 * time.Second}, {"thirty times slower", 90 * time.Millisecond, 15 * time.Second}} {
 		t.Run(c.name, func(t *testing.T) {
-			inWorld(t, 51, func(w *standin.World) {
+			inWorldOf(t, 51, []config.Team{{Name: "red", CPUs: 16}, {Name: "blue"}}, func(w *standin.World) {
 				w.State.Limit(w.Params.State.RPS, w.Params.State.WriteRPS)
+				w.Cloud.Capacity(max(4, *machines))
 				settle(w, 5)
+				for k := range *machines / 50 {
+					j := spec(1000+k, wire.Array, 300, 3600)
+					j.Team, j.Types, j.CPUs, j.MemoryGB = "blue", []string{"small"}, 0.6, 1
+					w.Submit(j)
+				}
+				if *machines > 0 {
+					time.Sleep(4 * time.Minute)
+					t.Logf("%d machines, %d tasks", len(w.Cloud.Up()), w.Referee.Tasks())
+				}
 				n := nodeAt(leaderOf())
 				n.ask(func() {
 					for k := range *history {
--- a/internal/standin/world.go
+++ b/internal/standin/world.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"sort"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"fieldhill/internal/config"
@@ -51,6 +52,7 @@
 	host                    host.Net
 	stop                    context.CancelFunc
 	done                    chan struct{}
+	killed                  *atomic.Bool // that process was ended between two statements
 }
 
 // NodeName is the name of a node.
@@ -154,10 +156,11 @@
 	ctx, stop := context.WithCancel(w.ctx)
 	done := make(chan struct{})
 	h := w.via(nd.name)
-	nd.host, nd.stop, nd.done = h, stop, done
+	killed := &atomic.Bool{}
+	nd.host, nd.stop, nd.done, nd.killed = h, stop, done, killed
 	go func() {
 		defer close(done)
-		if err := w.start(ctx, h, s); err != nil && ctx.Err() == nil {
+		if err := w.start(ctx, h, s); err != nil && ctx.Err() == nil && !killed.Load() {
 			panic(err)
 		}
 	}()
@@ -172,6 +175,7 @@
 // Kill ends a node between two statements, as a process is ended that gets no signal: nothing that it would do in
 // order reaches anybody, its leases and what it sent live on, and a new process may be started at once.
 func (w *World) Kill(i int) {
+	w.nodes[i].killed.Store(true) // its listeners end before it does
 	if h, ok := w.nodes[i].host.(*Host); ok {
 		h.End()
 	}
