Take nothing unproven for evidence: a copy's session may be of an earlier life

Cause: an unproven report was held to prove one thing, that runs of older sessions than its own are gone. A worker that began anew with session 1 can have had session 2 in the life before; a copy from there, the first report of a term or of a suspect machine, ended what runs now, and it was started elsewhere (`ran_twice`). Ruled out, by the evidence in the log: leases over by the others' word, late commands.

Change: unproven reports prove nothing; what a suspect machine says is judged like any report. Taken out again: the end of a lease as evidence for single machines while the cloud is down.

--- a/internal/controller/house.go
+++ b/internal/controller/house.go
@@ -327,9 +327,6 @@
 			n.log.Info("the lease of a suspect machine has run out", "machine", mc.Info.Name, "tasks", len(mc.Runs))
 			n.propose(&model.Entry{Kind: model.EntryLapsed, Machine: mc.ID})
 			n.dirty = true
-		case mc.Releasing && r.cloudDown && !mc.Suspect && len(mc.Runs) > 0 && quiet(mc):
-			// The cloud can't prove its end now; the end of its lease does.
-			n.suspect(mc)
 		case mc.Releasing:
 		case mc.Bad && len(mc.Runs) == 0:
 			n.giveUp(mc, "it is faulty")
@@ -426,7 +423,7 @@
 // suspect makes a machine suspect: its lease runs out, and then its tasks start
 // elsewhere. It is left where it is, and of use again when the cut is over.
 func (n *Node) suspect(mc *model.Machine) {
-	n.log.Info("machine is suspect: its lease is to run out", "machine", mc.Info.Name, "zone", mc.Info.Zone, "tasks", len(mc.Runs))
+	n.log.Info("machine in a zone that is cut off is suspect", "machine", mc.Info.Name, "zone", mc.Info.Zone, "tasks", len(mc.Runs))
 	seq := n.propose(&model.Entry{Kind: model.EntrySuspect, Machine: mc.ID})
 	n.whenCommitted(seq, func(ok bool) {
 		if ok {
--- a/internal/controller/workers.go
+++ b/internal/controller/workers.go
@@ -86,9 +86,8 @@
 // suspicion is taken back by an entry; and that is done only if the machine answers now: a copy of a report from before the cut, or
 // the word of one that hears nothing, would begin the count anew, again and again.
 func (n *Node) heardOfSuspect(mc *model.Machine, r *wire.Report, send func(*peer.Reply)) {
-	for _, e := range n.m.Grown(mc, r.Session) {
-		n.propose(e)
-		n.dirty = true
+	if mc.Reported {
+		n.observe(mc, r, nil) // what it proves by its numbers, it proves all the same
 	}
 	ro := n.role
 	if !n.ask1(mc, func() {
--- a/internal/model/check_test.go
+++ b/internal/model/check_test.go
@@ -26,6 +26,7 @@
 	copyIsAnswer       // a copy of a report passes for the answer to a question, and the token in it is not looked at
 	answerForgets      // a start under way in the answer to a report is not waited for
 	lostForgets        // a direct start without an answer is taken for one that never left
+	sessionProves      // the session of any report ends the runs of lower ones
 )
 
 type underWay struct {
@@ -51,6 +52,7 @@
 	net       []underWay
 	question  *hearing.Question
 	terms     int
+	lapses    int
 	broken    string
 }
 
@@ -72,7 +74,7 @@
 	for _, r := range mc.Runs {
 		b = fmt.Appendf(b, " %v/%v/%v/%v/%v/%v", r.Attempt, r.Session, r.Phase, r.Inherited, r.answerSeq, r.Stop)
 	}
-	for _, x := range []uint64{w.life, w.session, w.seq, w.token, w.holds, uint64(w.waits), uint64(w.terms), w.m.TermBase} {
+	for _, x := range []uint64{w.life, w.session, w.seq, w.token, w.holds, uint64(w.waits), uint64(w.terms), uint64(w.lapses), w.m.TermBase} {
 		b = binary.AppendUvarint(b, x)
 	}
 	b = fmt.Appendf(b, "%v %v %+v", w.elsewhere, w.broken, w.reports)
@@ -100,6 +102,13 @@
 func (w *sight) observe(r *wire.Report, q *hearing.Question) Verdict {
 	mc := w.m.Order[0]
 	v := w.m.Observe(mc, r, q, 1)
+	if w.slip == sessionProves && v.Sense == hearing.Unproven {
+		for _, run := range mc.Runs {
+			if run.Session < r.Session {
+				v.Entries = append(v.Entries, &Entry{Kind: EntryEnded, Job: 7, Task: 0, Attempt: run.Attempt})
+			}
+		}
+	}
 	for _, e := range v.Entries {
 		_ = w.m.Apply(e, 1, 1)
 	}
@@ -258,6 +267,11 @@
 			})
 		}
 	}
+	if w.lapses == 0 {
+		step("the worker's lease runs out", func(w *sight) {
+			w.lapses, w.session, w.holds = 1, w.session+1, 0
+		})
+	}
 	if w.terms == 0 {
 		step("another node leads", func(w *sight) {
 			w.terms++
@@ -301,7 +315,7 @@
 	for _, c := range []struct {
 		slip        slip
 		depth, most int
-	}{{right, 20, 12_000}, {copyIsAnswer, 12, 60_000}, {answerForgets, 12, 60_000}, {lostForgets, 12, 60_000}} {
+	}{{right, 20, 12_000}, {copyIsAnswer, 12, 60_000}, {answerForgets, 12, 60_000}, {lostForgets, 12, 60_000}, {sessionProves, 14, 150_000}} {
 		r := check.Explore(sightOf(t, c.slip), c.depth, c.most)
 		if found := r.Broken != ""; found != (c.slip != right) {
 			t.Errorf("slip %d: %s", c.slip, r)
--- a/internal/model/model_test.go
+++ b/internal/model/model_test.go
@@ -646,3 +646,18 @@
 		t.Errorf("a snapshot without rentals is of version %d", b[0])
 	}
 }
+
+// TestCopyFromEarlierLife: the first report that a new leader gets of a machine may be a copy from an earlier life of its worker, whose sessions
+// had gone further than those of the present one. Its session once passed for a proof that the runs of a lower one are gone, and they
+// were started elsewhere while they ran.
+func TestCopyFromEarlierLife(t *testing.T) {
+	m, mc, run := small(t) // a run in session 1 of the present life
+	m.BeginTerm(4<<24, 0)
+	if v := m.Observe(mc, report(2, 45, 2<<24), nil, 1); len(v.Entries) != 0 || !v.Stale() {
+		t.Errorf("a copy of session 2 proves %d ends", len(v.Entries))
+	}
+	v := m.Observe(mc, report(1, 7, 3<<24, wire.TaskStatus{Task: "req-000007/0", Attempt: 1, State: wire.TaskRunning}), m.Ask(mc), 2)
+	if len(v.Entries) != 0 || run.Phase != Running {
+		t.Errorf("an answer that lists the run proves %d ends, phase %d", len(v.Entries), run.Phase)
+	}
+}
--- a/internal/model/observe.go
+++ b/internal/model/observe.go
@@ -103,9 +103,8 @@
 	w := hearing.Word{Number: hearing.Number{Session: r.Session, Seq: r.Seq}, Token: r.Token}
 	v := Verdict{Sense: mc.Ear.Judge(w, m.TermBase, mc.reached(), q)}
 	if v.Stale() {
-		if v.Sense == hearing.Unproven {
-			v.Entries = m.Grown(mc, r.Session)
-		}
+		// Not even its session proves anything: it may be a copy from an earlier life of the worker, whose sessions had
+		// gone further than those of the present one.
 		return v
 	}
 	answer := q != nil
@@ -186,16 +185,6 @@
 	}
 }
 
-// Grown is what a session proves whenever its report was sent: runs of an earlier one are gone.
-func (m *Model) Grown(mc *Machine, session uint64) (list []*Entry) {
-	for _, run := range mc.Runs {
-		if run.Session < session {
-			list = append(list, &Entry{Kind: EntryEnded, Job: run.Job.ID, Task: run.Task, Attempt: run.Attempt})
-		}
-	}
-	return list
-}
-
 // Silence is for how long a machine has not been heard of, or is known not to hear.
 func (mc *Machine) Silence(now Time) Time {
 	if mc.DeafSince != 0 {
