End the session of a machine that may yet be told to start a cancelled task; keep work up in an outage that all share

Cause of the first: a start that is held up on its way to a machine in a cut zone. Now a node that does not lead renews the lease of a machine with a run of a cancelled job that the machine does not list no longer than a node that does not know of the cancellation. A leader answers a report that proves nothing (a copy, or a worker that began anew) only as long, too, if the machine does not answer questions.

Controllers that all reach each other can tell that nothing was confirmed that they lack (internal/vouch, with the argument; ages of processes and log numbers). A process that began anew, one that can't be asked, or one that has seen more, and the old bound stands. One function decides whether a lease may be renewed (keep.go). The bound leaves room for the drift of clocks, also where cancel_s is hardly above lease_s; settings without room are refused.

--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -218,6 +218,9 @@
 	if w.CancelS <= w.LeaseS {
 		return fmt.Errorf("params.workers.cancel_s: must be above lease_s")
 	}
+	if s.KeepBound() <= 0 {
+		return fmt.Errorf("params.workers.cancel_s: %v leaves no room over lease_s of %v: what clocks may differ by takes it up", w.CancelS, w.LeaseS)
+	}
 	if p.State.ValueKB < 1 || p.State.TxnOps < 3 {
 		return fmt.Errorf("params.state: value_kb under 1 or txn_ops under 3")
 	}
@@ -231,8 +234,13 @@
 
 // KeepBound is how long a node that is cut off from the log may keep workers'
 // leases alive: a cancellation it can't know of must still take effect in time.
+// docs/DESIGN.md has the sum. What is left of cancel_s is for what nobody measures, at most two seconds,
+// and for the drift of this node's clock and the worker's.
 func (s *Settings) KeepBound() time.Duration {
 	w := &s.Params.Workers
 	slack := w.CancelS - w.LeaseS
-	return Seconds(slack - min(2, slack/3))
+	return Seconds(slack - min(2, slack/3) - clocks*w.CancelS)
 }
+
+// clocks is how much of cancel_s is left for clocks: twice what the platform allows two of them to differ by.
+const clocks = 0.001
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -1,11 +1,18 @@
 package config
 
 import (
+	"math"
 	"strings"
 	"testing"
 	"time"
+
+	"pgregory.net/rapid"
+
+	"fieldhill/internal/bubble"
 )
 
+func TestMain(m *testing.M) { bubble.Drawn(m, 400) }
+
 const good = `
 node = "n0"
 zone = "a"
@@ -75,6 +82,7 @@
 		{`zones = ["a", "b"]`, ``, "params.zones"},
 		{`zones = ["a", "b"]`, `zones = ["a", "a"]`, "params.zones[1]"},
 		{`cancel_s = 49.0`, `cancel_s = 20.0`, "cancel_s"},
+		{`cancel_s = 49.0`, `cancel_s = 24.03`, "params.workers.cancel_s: 24.03 leaves no room over lease_s"},
 		{`rps = 100.0`, `rps = 0.0`, "state.rps"},
 		{`cpu_share = 0.5`, `cpu_share = "half"`, "CPUShare"},
 		{`rps = 100.0`, `rps = 1.0.0`, "line "},
@@ -85,3 +93,34 @@
 		}
 	}
 }
+
+// TestLeasesEndInTime adds up, for settings drawn at random, the longest that a task of a job can live that was cancelled just after a node last
+// knew of all that was confirmed: the node looks at its bound by its own clock when it reads a report, which was sent before; the worker
+// counts the lease by its own from the sending. Both clocks are as slow as the platform allows. The sum is in docs/DESIGN.md.
+func TestLeasesEndInTime(t *testing.T) {
+	refused, tiny := 0, 0
+	rapid.Check(t, func(t *rapid.T) {
+		s := &Settings{}
+		w := &s.Params.Workers
+		w.LeaseS = rapid.Float64Range(0.5, 600).Draw(t, "lease")
+		w.CancelS = w.LeaseS + math.Pow(10, rapid.Float64Range(-3, 3).Draw(t, "room, as a power of ten"))
+		keep := s.KeepBound()
+		if keep <= 0 { // refused at the start
+			refused++
+			return
+		}
+		if w.CancelS-w.LeaseS < 2 {
+			tiny++
+		}
+		const slow = 1 - 0.0005
+		last := keep.Seconds()/slow + w.LeaseS/slow
+		if room := w.CancelS - last; room <= 0 {
+			t.Fatalf("the last task is gone %v s after the cancellation has to be through", -room)
+		} else if share := min(1.9, (w.CancelS-w.LeaseS)/4); room < share {
+			t.Fatalf("%v s are left for what nobody measures", room)
+		}
+	})
+	if refused == 0 || tiny == 0 {
+		t.Errorf("%d settings were refused, %d left less than two seconds: not all kinds were drawn", refused, tiny)
+	}
+}
--- a/internal/controller/house.go
+++ b/internal/controller/house.go
@@ -25,6 +25,7 @@
 	}
 	n.judgeReady()
 	n.sayApart()
+	n.askPast()
 	n.tendDuties()
 	if len(n.keepUntil) > 4000 {
 		clear(n.keepUntil)
--- a/internal/controller/node.go
+++ b/internal/controller/node.go
@@ -38,6 +38,7 @@
 	"fieldhill/internal/standby"
 	"fieldhill/internal/statesvc"
 	"fieldhill/internal/stats"
+	"fieldhill/internal/vouch"
 	"fieldhill/internal/why"
 	"fieldhill/internal/worker"
 )
@@ -76,22 +77,28 @@
 	ctx    context.Context
 
 	// Owned by the loop.
-	m         *model.Model
-	loaded    bool
-	applied   uint64 // last batch applied (follower) or appended (leader)
-	sched     *sched.Sched
-	fleet     *fleet.Fleet
-	role      *role // nil: follower
-	leader    *oplog.Leader
-	caught    time.Time            // the replica was complete then
-	inTouch   time.Time            // the state service answered a watch, or the load, then
-	book      *renewal.Book        // whose lease this process renewed when; it outlives the lead
-	keepUntil map[string]time.Time // workers that don't reach the leader, and until when they are not sent to it
-	apartSaid time.Time            // when this node last told the leader that it does not reach it
-	snapEvery int                  // batches between two snapshots
-	dirty     bool
-	lastRound time.Time
-	gap       time.Duration // between rounds that events wake
+	m        *model.Model
+	loaded   bool
+	applied  uint64 // last batch applied (follower) or appended (leader)
+	sched    *sched.Sched
+	fleet    *fleet.Fleet
+	role     *role // nil: follower
+	leader   *oplog.Leader
+	caught   time.Time  // the replica was complete then
+	inTouch  time.Time  // the state service answered a watch, or the load, then
+	past     vouch.Past // what this process has ever seen of the log
+	vouched  time.Time  // the other controllers showed that nothing this node lacks was confirmed by then
+	asksPast time.Time  // when they were last asked
+	loads    int        // how often the copy was thrown away
+	// cancelAfter is, at a follower, from when cancellations count at the earliest that came while it followed, of jobs that may hold machines.
+	cancelAfter map[model.JobID]time.Time
+	book        *renewal.Book        // whose lease this process renewed when; it outlives the lead
+	keepUntil   map[string]time.Time // workers that don't reach the leader, and until when they are not sent to it
+	apartSaid   time.Time            // when this node last told the leader that it does not reach it
+	snapEvery   int                  // batches between two snapshots
+	dirty       bool
+	lastRound   time.Time
+	gap         time.Duration // between rounds that events wake
 
 	duties *duties // nil: the leader does all of it
 
@@ -197,6 +204,8 @@
 func (n *Node) reset() {
 	n.m = model.New(&n.set.Params)
 	n.applied, n.loaded, n.role = 0, false, nil
+	n.loads++
+	n.cancelAfter = map[model.JobID]time.Time{}
 }
 
 func (n *Node) now() model.Time { return time.Since(n.start) }
@@ -518,6 +527,7 @@
 		return
 	}
 	r.committed, r.writing = seq, false
+	n.past.Saw(seq)
 	n.stats.Write.Update(time.Since(r.wroteAt).Seconds())
 	n.applied = seq
 	n.m.Forget(seq)
@@ -589,8 +599,12 @@
 		if err := n.m.Apply(e, b.Seq, n.now()); err != nil {
 			n.log.Error("entry does not apply", "batch", b.Seq, "err", err)
 		}
+		if e.Kind == model.EntryCancel && n.loaded && n.m.Jobs[e.Job] != nil {
+			n.noteCancel(e.Job, n.caught)
+		}
 	}
 	n.applied = b.Seq
+	n.past.Saw(b.Seq)
 	n.m.Forget(b.Seq)
 	return nil
 }
--- a/internal/controller/renewed.go
+++ b/internal/controller/renewed.go
@@ -24,9 +24,6 @@
 // kept is for how long a node keeps whose lease it renewed: what is longer ago proves nothing more.
 func (n *Node) kept() model.Time { return 2 * n.lease() }
 
-// renews notes that a machine's lease is renewed, by the answer that is about to be sent.
-func (n *Node) renews(machine string) { n.book.Renewed(machine, n.now()) }
-
 // ownRenewal is from when a machine's lease counts at the latest, as far as this node goes: when it last renewed it (an earlier process of it may
 // have until this one began), or last heard of the session that holds what is placed there, which has a lease from its own beginning.
 func (n *Node) ownRenewal(mc *model.Machine) model.Time {
--- a/internal/controller/takeover.go
+++ b/internal/controller/takeover.go
@@ -130,6 +130,7 @@
 			}
 		}
 		n.applied = got.SnapSeq
+		n.past.Saw(got.SnapSeq)
 		for _, b := range got.Batches {
 			if err = n.applyBatch(b); err != nil {
 				return
--- a/internal/controller/users.go
+++ b/internal/controller/users.go
@@ -145,6 +145,8 @@
 		return n.heardOfDuty(ctx, c)
 	case peer.OpRenewed:
 		return n.tellRenewals(ctx, c)
+	case peer.OpVouch:
+		return n.tellPast(ctx)
 	}
 	return api.Refuse(http.StatusNotImplemented, "unknown operation")
 }
--- a/internal/controller/workers.go
+++ b/internal/controller/workers.go
@@ -34,7 +34,7 @@
 		// The worker obeys a later term than this node's.
 		send(api.Encode(http.StatusMisdirectedRequest, &wire.Redirect{}))
 		return
-	case !n.active() && time.Since(n.caught) > n.set.KeepBound():
+	case !n.mayRenew():
 		// Nobody may keep leases alive for longer than a cancellation that this
 		// node can't know of leaves.
 		send(api.Later("no leader at the moment", 1))
@@ -63,10 +63,14 @@
 	v := n.observe(mc, r, nil)
 	if v.Stale() {
 		// It may be a copy from the past, or the word of a worker that began anew. It is answered, which is nothing to
-		// whoever is not there, and asked.
+		// whoever is not there, and asked. It is told nothing that it has to stop, though, so one whose answers to questions do not
+		// arrive is not kept for longer than by a node that knows nothing of cancellations.
 		n.ask1(mc, nil)
-		n.renews(r.Machine)
-		send(api.Encode(http.StatusOK, &wire.ReportAnswer{Token: n.m.Token(mc), Commands: []wire.Command{}}))
+		if n.now()-mc.LastReport > n.set.KeepBound() {
+			send(api.Later("this machine does not answer", 1))
+			return
+		}
+		send(n.renew(r.Machine, n.m.Token(mc), []wire.Command{}))
 		return
 	}
 	if first {
@@ -77,9 +81,11 @@
 
 // tellMachine is the answer to the report of a machine that was taken in.
 func (n *Node) tellMachine(mc *model.Machine) *peer.Reply {
-	n.renews(mc.Info.Name)
+	if !n.mayRenew() {
+		return api.Later("no leader at the moment", 1)
+	}
 	mc.Ear.Tell(n.m.Token(mc))
-	return api.Encode(http.StatusOK, &wire.ReportAnswer{Token: n.m.Token(mc), Commands: n.m.Commands(mc, n.role.committed, true)})
+	return n.renew(mc.Info.Name, n.m.Token(mc), n.m.Commands(mc, n.role.committed, true))
 }
 
 // heardOfSuspect takes the report of a machine whose lease is to run out. Before it is answered, which renews the lease, the
@@ -287,10 +293,7 @@
 // bound: a job cancelled after the log was last read here still loses its tasks
 // in time when the leases then run out.
 func (n *Node) keepAlive(r *wire.Report) *peer.Reply {
-	if time.Since(n.caught) > n.set.KeepBound() {
-		return api.Later("no leader at the moment", 1)
-	}
-	if mc := n.m.ByName[r.Machine]; mc != nil && mc.Suspect {
+	if mc := n.m.ByName[r.Machine]; mc != nil && (mc.Suspect || n.startMayCome(mc, r)) {
 		return api.Later("its lease is to run out", 1)
 	}
 	cmds := []wire.Command{}
@@ -305,8 +308,7 @@
 			cmds = append(cmds, wire.Command{Verb: wire.Stop, Task: t.Task, Attempt: t.Attempt, GraceS: new(float64)})
 		}
 	}
-	n.renews(r.Machine)
-	return api.Encode(http.StatusOK, &wire.ReportAnswer{Token: r.Token, Commands: cmds})
+	return n.renew(r.Machine, r.Token, cmds)
 }
 
 // touch marks a machine as having something to be told.
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -45,6 +45,7 @@
 	OpQueue
 	OpDuty    // what came of a duty, under its term
 	OpRenewed // when the leases of a zone's machines were last renewed, by a node that has applied a batch
+	OpVouch   // how old a process is, and what it has ever seen of the log
 )
 
 // Call is a request to another controller.
--- a/internal/standin/net.go
+++ b/internal/standin/net.go
@@ -27,12 +27,13 @@
 	down  map[string]bool // addresses whose host is without power: nothing answers
 	cut   map[[2]string]bool
 	conns map[net.Conn]string
+	from  map[net.Conn]string  // who dialled, of connections that are not accepted yet
 	still map[string]time.Time // hosts that stand still, and until when
 }
 
 // NewNetwork makes an empty network.
 func NewNetwork() *Network {
-	return &Network{ports: map[string]*listener{}, down: map[string]bool{}, cut: map[[2]string]bool{}, conns: map[net.Conn]string{}, still: map[string]time.Time{}}
+	return &Network{ports: map[string]*listener{}, down: map[string]bool{}, cut: map[[2]string]bool{}, conns: map[net.Conn]string{}, from: map[net.Conn]string{}, still: map[string]time.Time{}}
 }
 
 // Freeze has a host stand still: it neither sends nor receives nor connects until
@@ -61,8 +62,12 @@
 	net.Conn
 	net  *Network
 	host string
+	peer string // the other host, as who was dialled sees it
 }
 
+// RemoteAddr tells who dialled.
+func (c *ofHost) RemoteAddr() net.Addr { return addr(c.peer) }
+
 func (c *ofHost) Read(b []byte) (int, error) {
 	n, err := c.Conn.Read(b)
 	c.net.thaw(c.host)
@@ -92,7 +97,11 @@
 	select {
 	case c := <-l.ch:
 		l.net.thaw(l.host)
-		return &ofHost{c, l.net, l.host}, nil
+		l.net.mu.Lock()
+		from := l.net.from[c]
+		delete(l.net.from, c)
+		l.net.mu.Unlock()
+		return &ofHost{c, l.net, l.host, from}, nil
 	case <-l.done:
 		return nil, net.ErrClosed
 	}
@@ -205,10 +214,11 @@
 	client, server := net.Pipe()
 	h.net.mu.Lock()
 	h.net.conns[client] = h.name + ">" + a
+	h.net.from[server] = h.name
 	h.net.mu.Unlock()
 	select {
 	case l.ch <- server:
-		return &ofHost{client, h.net, h.name}, nil
+		return &ofHost{client, h.net, h.name, a}, nil
 	case <-l.done:
 		return nil, errors.New("connection refused")
 	case <-ctx.Done():
--- a/internal/standin/state.go
+++ b/internal/standin/state.go
@@ -33,10 +33,11 @@
 	most    int // most keys held at once
 
 	outage                  bool
-	took                    time.Duration // that an answer takes
-	loseAnswer, loseRequest float64       // chances that a transaction is applied, but not answered; that it is neither
-	lateBy                  time.Duration // by how much an unanswered transaction may be applied late
-	rps, changes            *rate.Limiter // nil: any number
+	refused                 map[string]bool // hosts that alone get what all get in an outage
+	took                    time.Duration   // that an answer takes
+	loseAnswer, loseRequest float64         // chances that a transaction is applied, but not answered; that it is neither
+	lateBy                  time.Duration   // by how much an unanswered transaction may be applied late
+	rps, changes            *rate.Limiter   // nil: any number
 }
 
 type entry struct {
@@ -72,6 +73,16 @@
 	}
 }
 
+// Refuse has a host get 503 while the others are served, or ends that. Its open watches wait meanwhile, and its leases run out.
+func (s *State) Refuse(host string, on bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.refused == nil {
+		s.refused = map[string]bool{}
+	}
+	s.refused[host] = on
+}
+
 // SetSlow sets how long every answer takes.
 func (s *State) SetSlow(took time.Duration) {
 	s.mu.Lock()
@@ -161,6 +172,9 @@
 	go func() { <-ctx.Done(); srv.Close() }()
 }
 
+// from is the host that a request came from, where the network knows it.
+func from(r *http.Request) string { return r.RemoteAddr }
+
 func answer(w http.ResponseWriter, code int, v any) {
 	b, err := wire.Marshal(v)
 	if err != nil {
@@ -191,7 +205,7 @@
 		answer(w, 429, m{})
 		return
 	}
-	if s.outage && r.URL.Path != wire.PathFollow {
+	if (s.outage || s.refused[from(r)]) && r.URL.Path != wire.PathFollow {
 		s.mu.Unlock()
 		answer(w, 503, m{"error": "trouble"})
 		return
@@ -337,17 +351,20 @@
 				news = append(news, m{"put": c.key, "value": c.value, "stamp": c.ver})
 			}
 		}
-		rev, changed, outage := s.rev, s.changed, s.outage
+		rev, changed, outage := s.rev, s.changed, s.outage || s.refused[from(r)]
 		s.mu.Unlock()
 		if len(news) > 0 && !outage {
 			answer(w, 200, m{"ledger": rev, "news": news})
 			return
 		}
+		if outage {
+			changed = nil // it is looked again a moment later
+			end.Reset(100 * time.Millisecond)
+		}
 		select {
 		case <-changed:
 		case <-end.C:
 			if outage {
-				end.Reset(100 * time.Millisecond)
 				continue
 			}
 			answer(w, 200, m{"ledger": rev, "news": news})
--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -30,10 +30,12 @@
 	changed  bool
 	hangs    time.Time // executes nothing until then
 	sick     bool
-	lost     bool         // the machine is gone
-	deaf     bool         // its reports arrive, answers and commands don't reach it
-	life     int          // how often it was started again
-	sent     *wire.Report // the last one
+	lost     bool          // the machine is gone
+	deaf     bool          // its reports arrive, answers and commands don't reach it
+	held     time.Duration // direct commands are held up by so much, their senders get no answer
+	holding  int           // how many were
+	life     int           // how often it was started again
+	sent     *wire.Report  // the last one
 	stop     context.CancelFunc
 	images   map[string]bool
 	target   int
@@ -117,6 +119,21 @@
 	w.deaf = on
 }
 
+// Hold has direct commands to the machine held up from now on: their senders get no answer, and they are carried out so much
+// later if token and session still match. 0 ends that for those that come from then on.
+func (w *Worker) Hold(d time.Duration) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.held = d
+}
+
+// Holding counts the direct commands that were held up.
+func (w *Worker) Holding() int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.holding
+}
+
 // unreached loses what was sent to a machine that can't be reached: its sender gets no answer while it waits for one.
 func (w *Worker) unreached() {
 	for range 50 {
@@ -333,6 +350,12 @@
 		return
 	}
 	late, wait := w.world.lateness()
+	w.mu.Lock()
+	if w.held > 0 {
+		late, wait = true, w.held
+		w.holding++
+	}
+	w.mu.Unlock()
 	if late {
 		w.mu.Lock()
 		life := w.life // what is on its way to an earlier one ends with its connections
--- a/internal/standin/world.go
+++ b/internal/standin/world.go
@@ -294,6 +294,9 @@
 	w.Net.Cut(w.nodes[node].name, w.at.State, apart)
 }
 
+// RefuseState has the state service refuse a node alone, or ends that.
+func (w *World) RefuseState(node int, on bool) { w.State.Refuse(w.nodes[node].name, on) }
+
 // Island parts a node from the state service and the other controllers, not from its workers.
 func (w *World) Island(node int, apart bool) {
 	w.CutState(node, apart)
