Take a run for gone only by what the worker's present life said; ask nobody to vouch in quiet times

Found by the exploration of held commands (internal/model/check_test.go), which now has stops, reaps and tasks that end, and asks that no attempt starts whose end is in the log. Four orders, shortest six steps, broke the code as it was: - a report with a newer session, sent before the worker began anew with numbers from 1, ended runs while their start was on its way to the new life, or after it had been executed there; - the same by a report that no longer listed a run; - an attempt's end shown by a report of an earlier life, while a start was on its way to the new one; - an answer to a report that carried a start and was held up, while the same start had come directly, the task had ended, and that was seen by a question and reaped.

Now a report may end a run that was there, by not listing it or by a newer session, only if it shows a token that was given out after one like it was heard; the machine is asked at once, and its answer counts. A failed or stopped attempt's end waits while a start of it may be under way; a start without an answer is fenced as soon as its task is listed.

A follower of a quiet log, whose copy is complete up to two watches ago, asked the others to vouch for it and said that it was out of touch. Now only one that does not reach the state service does.

--- a/internal/controller/keep.go
+++ b/internal/controller/keep.go
@@ -81,11 +81,8 @@
 // mostCancels bounds what is noted of cancelled jobs.
 const mostCancels = 4096
 
-const (
-	// vouchAfter is how long this node may be out of touch before it asks the others to vouch for it, and vouchEvery how often.
-	vouchAfter = 3 * time.Second
-	vouchEvery = 2 * time.Second
-)
+// vouchEvery is how often a node that is out of touch asks the others to vouch for it.
+const vouchEvery = 2 * time.Second
 
 // tellPast answers a controller that is out of touch.
 func (n *Node) tellPast(ctx context.Context) *peer.Reply {
@@ -98,7 +95,7 @@
 // the log. If all can be asked and none has, workers' leases are kept for longer: a long outage used to end all work when the bound was over.
 func (n *Node) askPast() {
 	now := time.Now()
-	if n.active() || !n.loaded || now.Sub(n.sure()) < vouchAfter || now.Sub(n.sure()) > n.set.KeepBound() || now.Sub(n.asksPast) < vouchEvery {
+	if n.active() || !n.loaded || n.role == nil && n.reaches() || now.Sub(n.sure()) > n.set.KeepBound() || now.Sub(n.asksPast) < vouchEvery {
 		return
 	}
 	for _, l := range n.links {
--- a/internal/controller/workers.go
+++ b/internal/controller/workers.go
@@ -217,6 +217,9 @@
 	if is := mc.DeafSince != 0; is != deaf {
 		n.sayDeaf(mc)
 	}
+	if v.Ask {
+		n.ask1(mc, nil)
+	}
 	n.m.SealDead(mc, n.role.seq())
 	for _, j := range v.Faulty {
 		n.log.Info("job fails on every machine: it is tried again with growing pauses", "job", j.Spec.ID, "class", j.Spec.Class, "failures", j.Errors)
--- a/internal/model/check_test.go
+++ b/internal/model/check_test.go
@@ -13,7 +13,7 @@
 )
 
 // This explores what one machine and its leaders can say to each other, in every order: reports, copies of them at any later time,
-// questions, commands that are late or lost, a worker that begins anew under its name, with numbers that go on or begin at 1, a lease that
+// questions, commands (starts, stops and reaps) that are late or lost, a task that ends by itself, a worker that begins anew under its name, with numbers that go on or begin at 1, a lease that
 // runs out, and a new leader while the old one's commands are still under way. The model and its judgement of reports are the real ones.
 //
 // A command that was on its way to an earlier life ends with its connection: the new life does not know it.
@@ -27,13 +27,14 @@
 	answerForgets      // a start under way in the answer to a report is not waited for
 	lostForgets        // a direct start without an answer is taken for one that never left
 	sessionProves      // the session of any report ends the runs of lower ones
+	reapsEarly         // the end of an attempt is logged, and it is reaped, though a start of it may be under way; nothing fences that
 )
 
 type underWay struct {
 	life, token, session uint64
-	starts               []uint64 // attempts
-	answer               bool     // to the report in flight
-	heard                bool     // its sender still waits for what comes of it
+	cmds                 []wire.Command
+	answer               bool // to the report in flight
+	heard                bool // its sender still waits for what comes of it
 	q                    *hearing.Question
 	term                 uint64
 }
@@ -45,7 +46,9 @@
 	session   uint64
 	seq       uint64
 	token     uint64
-	holds     uint64 // the attempt that runs on the machine; 0: none
+	holds     uint64 // the attempt that is on the machine, or was and is not reaped; 0: none
+	exited    bool   // it ended
+	early     uint64 // the attempt that is reaped as soon as it is seen to have ended
 	elsewhere bool   // the task runs on another machine
 	reports   []wire.Report
 	waits     int // the report that waits for its answer, 1 is the first; 0: none
@@ -72,16 +75,17 @@
 	mc := w.m.Order[0]
 	b := fmt.Appendf(nil, "%+v %v %v %v %v", mc.Ear, mc.Session, mc.Bump, mc.unsure, mc.dead)
 	for _, r := range mc.Runs {
-		b = fmt.Appendf(b, " %v/%v/%v/%v/%v/%v", r.Attempt, r.Session, r.Phase, r.Inherited, r.answerSeq, r.Stop)
+		b = fmt.Appendf(b, " %v/%v/%v/%v/%v/%v/%v", r.Attempt, r.Session, r.Phase, r.Inherited, r.answerSeq, r.Stop, r.goneFrom)
 	}
-	for _, x := range []uint64{w.life, w.session, w.seq, w.token, w.holds, uint64(w.waits), uint64(w.terms), uint64(w.lapses), w.m.TermBase} {
+	for _, x := range []uint64{w.life, w.session, w.seq, w.token, w.holds, w.early, uint64(w.waits), uint64(w.terms), uint64(w.lapses), w.m.TermBase} {
 		b = binary.AppendUvarint(b, x)
 	}
-	b = fmt.Appendf(b, "%v %v %+v", w.elsewhere, w.broken, w.reports)
+	b = fmt.Appendf(b, "%v %v %v %+v", w.elsewhere, w.exited, w.broken, w.reports)
 	for _, u := range w.net {
-		q := u.q
-		u.q = nil
-		b = fmt.Appendf(b, "%+v %+v", u, q)
+		b = fmt.Appendf(b, "%v %v %v %v %v %v %+v", u.life, u.token, u.session, u.answer, u.heard, u.term, u.q)
+		for _, c := range u.cmds {
+			b = fmt.Appendf(b, " %v %v", c.Verb, c.Attempt)
+		}
 	}
 	return string(fmt.Appendf(b, "%+v", w.question))
 }
@@ -93,7 +97,11 @@
 	w.seq++
 	r := report(w.session, w.seq, w.token)
 	if w.holds != 0 {
-		r.Tasks = append(r.Tasks, wire.TaskStatus{Task: theTask, Attempt: w.holds, State: wire.TaskRunning})
+		s := wire.TaskStatus{Task: theTask, Attempt: w.holds, State: wire.TaskRunning}
+		if w.exited {
+			s.State, s.Cause = wire.TaskExited, wire.CauseError
+		}
+		r.Tasks = append(r.Tasks, s)
 	}
 	return r
 }
@@ -101,7 +109,11 @@
 // observe gives the leader a message and has it apply what that proves.
 func (w *sight) observe(r *wire.Report, q *hearing.Question) Verdict {
 	mc := w.m.Order[0]
+	bump := mc.Bump
 	v := w.m.Observe(mc, r, q, 1)
+	if w.slip == reapsEarly {
+		mc.Bump = bump
+	}
 	if w.slip == sessionProves && v.Sense == hearing.Unproven {
 		for _, run := range mc.Runs {
 			if run.Session < r.Session {
@@ -112,29 +124,49 @@
 	for _, e := range v.Entries {
 		_ = w.m.Apply(e, 1, 1)
 	}
+	for _, s := range r.Tasks {
+		if w.slip == reapsEarly && s.State == wire.TaskExited {
+			w.early = s.Attempt
+			_ = w.m.Apply(&Entry{Kind: EntryEnded, Job: 7, Task: 0, Attempt: uint32(s.Attempt)}, 1, 1)
+		}
+	}
 	return v
 }
 
-// begin has the worker execute starts.
-func (w *sight) begin(starts []uint64) {
-	for _, a := range starts {
-		switch {
-		case w.holds == a, w.holds != 0: // known, or busy
-		case w.elsewhere:
-			w.broken = fmt.Sprintf("attempt %d starts while the task runs elsewhere", a)
-		default:
-			w.holds = a
+// execute has the worker carry out commands.
+func (w *sight) execute(cmds []wire.Command) {
+	for _, c := range cmds {
+		switch c.Verb {
+		case wire.Start:
+			switch {
+			case w.holds == c.Attempt, w.holds != 0 && !w.exited: // known, or busy
+			case w.holds != 0: // one attempt is enough to list here; the other is refused
+			case w.elsewhere:
+				w.broken = fmt.Sprintf("attempt %d starts while the task runs elsewhere", c.Attempt)
+			case w.m.run(7, 0, uint32(c.Attempt)) == nil:
+				w.broken = fmt.Sprintf("attempt %d starts, whose end is in the log", c.Attempt)
+			default:
+				w.holds = c.Attempt
+			}
+		case wire.Stop:
+			w.exited = w.exited || w.holds == c.Attempt
+		case wire.Forget:
+			if w.holds == c.Attempt && w.exited {
+				w.holds, w.exited = 0, false
+			}
 		}
 	}
 }
 
-func startsOf(cmds []wire.Command) (list []uint64) {
-	for _, c := range cmds {
-		if c.Verb == wire.Start {
-			list = append(list, c.Attempt)
-		}
+// commands is what the leader says now. What observe applied counts as committed.
+func (w *sight) commands(answer bool) []wire.Command {
+	mc := w.m.Order[0]
+	w.m.SealDead(mc, 1)
+	cmds := w.m.Commands(mc, 9, answer)
+	if w.early != 0 {
+		cmds = append(cmds, wire.Command{Verb: wire.Forget, Task: theTask, Attempt: w.early})
 	}
-	return list
+	return cmds
 }
 
 func (w sight) Steps() (list []check.Step) {
@@ -159,7 +191,7 @@
 				u := underWay{life: w.life, session: r.Session, answer: true, token: w.m.Token(mc), term: w.m.TermBase}
 				if !v.Stale() {
 					mc.Ear.Tell(w.m.Token(mc))
-					u.starts = startsOf(w.m.Commands(mc, 9, true))
+					u.cmds = w.commands(true)
 					for _, run := range mc.Runs {
 						if w.slip == answerForgets && run.answerSeq != 0 {
 							run.answerSeq = 0
@@ -198,7 +230,11 @@
 		})
 	}
 	for i, u := range w.net {
-		step(fmt.Sprintf("what was said in term %d arrives", u.term>>24), func(w *sight) {
+		what := "the command"
+		if u.answer {
+			what = "the answer"
+		}
+		step(fmt.Sprintf("%s of term %d arrives", what, u.term>>24), func(w *sight) {
 			w.net = slices.Delete(w.net, i, i+1)
 			if u.answer {
 				w.waits = 0
@@ -209,10 +245,10 @@
 			taken := u.session == w.session && u.token >= w.token
 			if taken {
 				w.token = u.token
-				w.begin(u.starts)
+				w.execute(u.cmds)
 			}
 			if mc := w.m.Order[0]; u.heard && u.term == w.m.TermBase {
-				w.m.Answered(mc, startCmds(u.starts), u.token, taken)
+				w.m.Answered(mc, u.cmds, u.token, taken)
 				w.observe(w.report(), u.q)
 			}
 		})
@@ -223,18 +259,19 @@
 					return
 				}
 				if mc := w.m.Order[0]; w.slip == lostForgets {
-					w.m.Answered(mc, startCmds(u.starts), u.token, false)
+					w.m.Answered(mc, u.cmds, u.token, false)
 				} else {
-					w.m.Lost(mc, startCmds(u.starts), u.token)
+					w.m.Lost(mc, u.cmds, u.token)
 				}
 			})
 		}
 	}
-	if mc.Reported && len(w.net) < 2 {
+	// There is one command to a machine at a time.
+	if mc.Reported && len(w.net) < 2 && !slices.ContainsFunc(w.net, func(u underWay) bool { return u.heard && u.term == w.m.TermBase }) {
 		step("the leader sends a command", func(w *sight) {
 			mc := w.m.Order[0]
-			cmds := w.m.Commands(mc, 9, false)
-			u := underWay{life: w.life, session: mc.Session, token: w.m.Token(mc), starts: startsOf(cmds), heard: true, q: w.m.Ask(mc), term: w.m.TermBase}
+			cmds := w.commands(false)
+			u := underWay{life: w.life, session: mc.Session, token: w.m.Token(mc), cmds: cmds, heard: true, q: w.m.Ask(mc), term: w.m.TermBase}
 			w.m.Sent(mc, cmds, u.token)
 			w.net = append(w.net, u)
 		})
@@ -247,7 +284,7 @@
 	}
 	if j.Tasks[0].State == Waiting && j.Tasks[0].Attempt > 0 && !w.elsewhere {
 		step("the task is placed elsewhere", func(w *sight) {
-			if w.elsewhere = true; w.holds != 0 {
+			if w.elsewhere = true; w.holds != 0 && !w.exited {
 				w.broken = fmt.Sprintf("the task is started elsewhere while attempt %d is here", w.holds)
 			}
 		})
@@ -257,10 +294,13 @@
 			step("the run is no longer wanted", func(w *sight) { w.m.Order[0].Runs[0].Stop = true })
 		}
 	}
+	if w.holds != 0 && !w.exited {
+		step("the task ends by itself", func(w *sight) { w.exited = true })
+	}
 	if w.life < 2 {
 		for _, afresh := range []bool{false, true} {
 			step(fmt.Sprint("the worker begins anew, afresh ", afresh), func(w *sight) {
-				w.life, w.holds, w.waits = w.life+1, 0, 0
+				w.life, w.holds, w.exited, w.waits = w.life+1, 0, false, 0
 				if w.session++; afresh {
 					w.session, w.seq, w.token = 1, 0, 0
 				}
@@ -269,7 +309,7 @@
 	}
 	if w.lapses == 0 {
 		step("the worker's lease runs out", func(w *sight) {
-			w.lapses, w.session, w.holds = 1, w.session+1, 0
+			w.lapses, w.session, w.holds, w.exited = 1, w.session+1, 0, false
 		})
 	}
 	if w.terms == 0 {
@@ -282,13 +322,6 @@
 	return list
 }
 
-func startCmds(attempts []uint64) (cmds []wire.Command) {
-	for _, a := range attempts {
-		cmds = append(cmds, wire.Command{Verb: wire.Start, Task: theTask, Attempt: a})
-	}
-	return cmds
-}
-
 func sightOf(t *testing.T, s slip) sight {
 	t.Helper()
 	m := New(params())
@@ -310,13 +343,35 @@
 	return w
 }
 
-// TestNoOrderStartsTwice explores the orders of all this, and finds what is done wrongly on purpose.
+// walk takes steps by their names.
+func walk(t *testing.T, w sight, names ...string) sight {
+	t.Helper()
+next:
+	for _, name := range names {
+		for _, s := range w.Steps() {
+			if s.Name == name {
+				w = s.To.(sight)
+				continue next
+			}
+		}
+		t.Fatalf("there is no step %q", name)
+	}
+	return w
+}
+
+// TestNoOrderStartsTwice explores the orders of all this, and finds what is done wrongly on purpose: from a task that was just placed, and from one that
+// runs while another copy of its start is held up.
 func TestNoOrderStartsTwice(t *testing.T) {
+	held := []string{"the leader sends a command", "the leader gives a command up", "the worker reports", "report 0 arrives", "the answer of term 3 arrives", "the worker reports"}
 	for _, c := range []struct {
 		slip        slip
+		from        []string
 		depth, most int
-	}{{right, 20, 12_000}, {copyIsAnswer, 12, 60_000}, {answerForgets, 12, 60_000}, {lostForgets, 12, 60_000}, {sessionProves, 14, 150_000}} {
-		r := check.Explore(sightOf(t, c.slip), c.depth, c.most)
+	}{
+		{right, nil, 20, 20_000}, {right, held, 20, 20_000}, {copyIsAnswer, nil, 12, 60_000}, {answerForgets, nil, 12, 60_000}, {lostForgets, nil, 12, 60_000},
+		{sessionProves, nil, 14, 150_000}, {reapsEarly, held, 14, 60_000},
+	} {
+		r := check.Explore(walk(t, sightOf(t, c.slip), c.from...), c.depth, c.most)
 		if found := r.Broken != ""; found != (c.slip != right) {
 			t.Errorf("slip %d: %s", c.slip, r)
 		} else {
--- a/internal/model/model.go
+++ b/internal/model/model.go
@@ -204,6 +204,7 @@
 	Hard      bool   // without saving
 	Inherited bool   // placed by an earlier leader, whose commands may be under way
 	answerSeq uint64 // the report whose answer carried its start; 0: none under way
+	goneFrom  uint64 // a report that it is gone counts from this token on; 0: none said so
 	seen      uint64
 }
 
--- a/internal/model/model_test.go
+++ b/internal/model/model_test.go
@@ -152,10 +152,32 @@
 	if v := m.Observe(mc, report(1, 1, 3<<24), nil, 1); !v.Stale() {
 		t.Error("an old report was believed")
 	}
+	// A report may have been sent by an earlier life of the worker, whose sessions had gone further: it has the machine asked, and counts once it shows a token
+	// that was given out since.
 	v := m.Observe(mc, report(2, 1, 3<<24), nil, 1)
+	if len(v.Entries) != 0 || !v.Ask {
+		t.Errorf("a report's newer session ends what ran in the older by itself: %v, asked %v", v.Entries, v.Ask)
+	}
+	raised := m.Token(mc)
+	if raised <= 3<<24 {
+		t.Error("no token was raised that only the present worker can show")
+	}
+	if v := m.Observe(mc, report(2, 2, raised-1), nil, 1); len(v.Entries) != 0 {
+		t.Errorf("the same without the raised token: %v", v.Entries)
+	}
+	v = m.Observe(mc, report(2, 3, raised), nil, 1)
 	if len(v.Entries) != 1 || v.Entries[0].Kind != EntryEnded {
 		t.Errorf("a newer session ends what ran in the older: %v", v.Entries)
 	}
+	// The answer to a question counts at once, for a newer session as for a run that is not there any more.
+	for _, session := range []uint64{1, 2} {
+		m, mc, run := small(t)
+		run.Phase = Running
+		run.Job.Running = 1
+		if v := m.Observe(mc, report(session, 9, 3<<24), m.Ask(mc), 1); len(v.Entries) != 1 || v.Entries[0].Kind != EntryEnded {
+			t.Errorf("the answer to a question, session %d: %v", session, v.Entries)
+		}
+	}
 }
 
 // TestKeptResult: a result that is reported after its attempt was given up by an
--- a/internal/model/observe.go
+++ b/internal/model/observe.go
@@ -42,7 +42,7 @@
 		mc.unsure, mc.dead, mc.Renewals = nil, nil, renewal.Proof{}
 		for _, r := range mc.Runs {
 			r.setPhase(Unseen)
-			r.Inherited, r.answerSeq, r.Stop = true, 0, false
+			r.Inherited, r.answerSeq, r.Stop, r.goneFrom = true, 0, false, 0
 		}
 	}
 }
@@ -81,6 +81,7 @@
 	Faulty  []*Job     // jobs that this report shows to fail everywhere
 	Slow    bool       // the report shows the machine to be slow
 	Meet    []*Machine // whose gangs' members may be told to start now
+	Ask     bool       // the report would end runs that were there, if it is of now: the machine is to be asked
 }
 
 // Stale tells whether the report proves nothing of now: the machine is to be asked.
@@ -113,10 +114,6 @@
 		mc.Bump++ // what was sent to its earlier life has lower tokens
 	}
 	met := mc.Ear.Take(w, v.Sense, m.Token(mc), !answer)
-	if r.Session > mc.Session {
-		// Commands for an earlier session are refused by the worker.
-		mc.unsure = nil
-	}
 	lapsed := !answer && known && r.Session > mc.Session
 	doubt := lapsed || !answer && mc.NoDirect
 	mc.Session = r.Session
@@ -151,14 +148,14 @@
 	mc.obs++
 	mc.dead = mc.dead[:0]
 	for i := range r.Tasks {
-		m.observeTask(mc, &r.Tasks[i], &v, now)
+		m.observeTask(mc, &r.Tasks[i], r, answer, &v, now)
 	}
 	for _, run := range mc.Runs {
 		if run.seen == mc.obs {
 			continue
 		}
 		sent := run.answerSeq
-		if e := m.absent(mc, run, r, answer); e != nil {
+		if e := m.absent(mc, run, r, answer, &v); e != nil {
 			v.Entries = append(v.Entries, e)
 		} else if sent != 0 && run.answerSeq == 0 {
 			doubt = true // it was told to start it, and has not
@@ -193,7 +190,7 @@
 	return now - mc.LastReport
 }
 
-func (m *Model) observeTask(mc *Machine, s *wire.TaskStatus, v *Verdict, now Time) {
+func (m *Model) observeTask(mc *Machine, s *wire.TaskStatus, r *wire.Report, answer bool, v *Verdict, now Time) {
 	n, task, ok := wire.ParseTaskID(s.Task)
 	if !ok || s.Attempt >= 1<<31 {
 		return
@@ -215,13 +212,19 @@
 		return
 	}
 	run.seen = mc.obs
-	run.answerSeq = 0
+	if !answer {
+		run.answerSeq = 0 // the worker has one report in flight: what answered the one before was taken or dropped
+	}
 	if run.Session < mc.Session {
 		// The worker forgot everything between the sessions; a task listed now
 		// under an old attempt can't be, so the listing is not believed.
+		if m.mayStart(mc, run) || !m.shown(mc, run, r, answer, v) {
+			return
+		}
 		v.Entries = append(v.Entries, &Entry{Kind: EntryEnded, Job: k.job, Task: k.task, Attempt: k.attempt})
 		return
 	}
+	run.goneFrom = 0
 	switch s.State {
 	case wire.TaskFetching:
 		run.setPhase(Fetching)
@@ -233,6 +236,7 @@
 		run.setPhase(Saving)
 	}
 	if !exited {
+		m.mayStart(mc, run) // one whose fate is not known is fenced long before the task ends
 		if run.Phase >= Gathering {
 			if !mc.Has(run.Job.Image) {
 				v.Meet = append(v.Meet, run.Job.meet()...)
@@ -244,6 +248,15 @@
 		}
 		return
 	}
+	if s.Cause != wire.CauseDone && (m.mayStart(mc, run) || run.answerSeq != 0) {
+		// What it lists is not started again. But if the worker has begun anew since, it may be, by the start that is under way: the end
+		// counts as soon as the worker shows the token that fences that. So it may, once it is reaped, by the same start in an answer to a report
+		// that is held up: what a question or a direct command showed waits for the next report.
+		if run.Phase == Unseen {
+			run.setPhase(Fetching) // it need not be told to start it again
+		}
+		return
+	}
 	mc.dead = append(mc.dead, deadTask{key: k, exited: true})
 	kind := EntryEnded
 	switch s.Cause {
@@ -267,10 +280,16 @@
 }
 
 // absent judges a run that a report does not list.
-func (m *Model) absent(mc *Machine, run *Run, r *wire.Report, answer bool) *Entry {
+func (m *Model) absent(mc *Machine, run *Run, r *wire.Report, answer bool, v *Verdict) *Entry {
 	gone := &Entry{Kind: EntryEnded, Job: run.Job.ID, Task: run.Task, Attempt: run.Attempt}
 	if run.Session < r.Session {
-		return gone // a newer session: everything of the older one is gone
+		// A newer session: everything of the older one is gone, and commands for it are refused. Unless the worker has begun
+		// anew since it sent this, with numbers that begin at 1: then the older session may be that of its present life, in which
+		// the run may be, or be started by what is on its way.
+		if m.mayStart(mc, run) || !m.shown(mc, run, r, answer, v) {
+			return nil
+		}
+		return gone
 	}
 	if !mc.Ear.Fenced() {
 		return nil // a start that was sent to an earlier life may come to this one
@@ -296,12 +315,38 @@
 	if run.Inherited && r.Token < m.TermBase {
 		return nil
 	}
-	if run.Phase != Unseen || !run.Wanted() {
+	if run.Phase == Unseen && !run.Wanted() || run.Phase != Unseen && m.shown(mc, run, r, answer, v) {
 		return gone
 	}
 	return nil
 }
 
+// shown tells whether a report may end a run that was there by not listing it, or by a newer session. That is so rare that it may take a question: a
+// report that a worker sent before it began anew, with numbers that begin at 1, may come after newer ones whose numbers are no higher. So the machine is asked, and
+// its answer counts at once; a report counts if it shows a token that was first given out after one like it was heard.
+func (m *Model) shown(mc *Machine, run *Run, r *wire.Report, answer bool, v *Verdict) bool {
+	if answer || run.goneFrom != 0 && r.Token >= run.goneFrom {
+		return true
+	}
+	if run.goneFrom == 0 {
+		if !v.Ask {
+			mc.Bump++
+		}
+		run.goneFrom, v.Ask = m.Token(mc), true
+	}
+	return false
+}
+
+// mayStart tells whether a start of a run in an earlier session may be under way, and raises the token above it if so: once the worker has
+// the new token the start is refused, whatever the worker's session is by then.
+func (m *Model) mayStart(mc *Machine, run *Run) bool {
+	_, open := mc.unsure[run.key()]
+	if open {
+		m.fence(mc, run.key())
+	}
+	return open
+}
+
 // SealDead notes the log number that carries what the last report proved:
 // exited attempts are forgotten by the worker only after it is committed,
 // because their listing is the evidence.
