Take a lease's end for no proof: return the machines of a cut zone whose work is wanted elsewhere

Cause: a machine of a cut zone that hangs over the end of its lease ends its tasks only when it wakes. The end of the lease, known by the other controllers' word, was logged as their end, and they started elsewhere while they were there (ran_twice, and quota with it). While the cloud is down the same entry did it for machines that were being returned.

Now the end of the lease only says that nothing is lost any more by returning the machine, and the cloud's answer is the evidence. Returned are suspect machines that hold something which may run in another zone, or whose job was cancelled; what must stay in the cut zone waits there and goes on where its images are. While the cloud is down nothing is marked and nothing starts. A suspect machine that holds tasks of a job cancelled three quarters of cancel_s ago is returned too: it may hang (ran_cancelled).

TestZoneWithoutController had only work that must stay in the cut zone, of which 'gone' was asserted; that is not returned now, so its machines hold work that may go anywhere too, and the same times are demanded of all of it.

--- a/internal/controller/hearing_test.go
+++ b/internal/controller/hearing_test.go
@@ -275,8 +275,46 @@
 	}
 }
 
+// zoneWithoutController has all controllers stand in zone a. Two services may run anywhere, three must in zone b, and arrays that may go anywhere fill the
+// rest of their machines, so that each machine of the zone holds something that may. It tells what holds work there.
+func zoneWithoutController(w *standin.World) (held []*standin.Worker) {
+	for i := range 3 {
+		w.Crash(i)
+		w.House(i, "a")
+	}
+	for i := range 3 {
+		w.Start(i)
+	}
+	settle(w, 2)
+	zone := "b"
+	for n := 3; n <= 5; n++ {
+		s := web(n, 3, "small")
+		s.Zone = &zone
+		w.Submit(s)
+	}
+	for n := 6; n <= 12; n++ {
+		j := spec(n, wire.Array, 2, 500)
+		j.CPUs, j.Priority = 0.5, wire.High
+		w.Submit(j)
+	}
+	time.Sleep(40 * time.Second)
+	for _, wk := range w.Cloud.Up() {
+		if wk.Zone == zone && w.Referee.Holds(wk.Name) {
+			held = append(held, wk)
+		}
+	}
+	return held
+}
+
+// cutZoneB parts the workers of zone b from all nodes.
+func cutZoneB(w *standin.World, apart bool) {
+	for i := range 3 {
+		w.CutWorkers("b", i, apart)
+	}
+}
+
 // TestZoneWithoutController: all controllers stand in one zone and another one is cut off. Its leases were renewed by nobody since, which all
-// controllers know of each other; so its work starts elsewhere as soon as the leases are over, not after the time for which a controller that
+// controllers know of each other; so its machines are returned, and its work starts elsewhere, as soon as the leases are over, not after the time for which a controller that
 // can't be asked might have renewed them (24 s of lease and 25 s less a margin of that bound: 57 s). One that can't be asked brings that back.
 func TestZoneWithoutController(t *testing.T) {
 	for _, c := range []struct {
@@ -287,40 +325,14 @@
 	}{{"all asked", false, 24 * time.Second, 34 * time.Second}, {"one away", true, 48 * time.Second, 62 * time.Second}} {
 		t.Run(c.name, func(t *testing.T) {
 			inWorld(t, 37, func(w *standin.World) {
-				for i := range 3 {
-					w.Crash(i)
-					w.House(i, "a")
-				}
-				for i := range 3 {
-					w.Start(i)
-				}
-				settle(w, 2)
-				zone := "b"
-				for n := 3; n <= 5; n++ { // three in the zone that is to be cut, which may go anywhere
-					s := web(n, 3, "small")
-					s.Zone = &zone
-					w.Submit(s)
-				}
-				w.Submit(web(6, 3, "small"))
-				w.Submit(web(7, 3, "small"))
-				time.Sleep(40 * time.Second)
-				held := func() (k int) {
-					for _, wk := range w.Cloud.Up() {
-						if wk.Zone == "b" && w.Referee.Holds(wk.Name) {
-							k++
-						}
-					}
-					return k
-				}
-				if held() < 3 {
-					t.Fatalf("%d machines of the zone hold work", held())
+				held := zoneWithoutController(w)
+				if len(held) < 3 {
+					t.Fatalf("%d machines of the zone hold work", len(held))
 				}
 				if c.part {
 					w.Crash((leaderOf() + 1) % 3)
 				}
-				for i := range 3 {
-					w.CutWorkers("b", i, true)
-				}
+				cutZoneB(w, true)
 				began := time.Now()
 				cut := map[string]bool{}
 				for _, wk := range w.Cloud.Up() {
@@ -344,9 +356,7 @@
 				if d := time.Since(began); d < c.from || d > c.to {
 					t.Errorf("the zone's work was known to be gone after %v", d)
 				}
-				for i := range 3 {
-					w.CutWorkers("b", i, false)
-				}
+				cutZoneB(w, false)
 				time.Sleep(30 * time.Second)
 				if k := upOf(w, 5); k != 5 {
 					t.Errorf("%d of 5 services run at the end", k)
--- a/internal/controller/house.go
+++ b/internal/controller/house.go
@@ -259,7 +259,7 @@
 }
 
 // judgeMachines gives up machines that are silent, faulty or never came up, and
-// takes those in a zone that is cut off for gone when their leases have run out.
+// returns those in a zone that is cut off whose work is over and wanted elsewhere.
 func (n *Node) judgeMachines(r *role) {
 	now := n.now()
 	silent := n.silentAfter()
@@ -324,11 +324,8 @@
 		}
 		cut = cut || now < r.cutUntil[mc.Zone]
 		switch {
-		case mc.Suspect && mc.Lapsed(n.set.KeepBound(), n.lease(), n.ownRenewal(mc), now, len(n.set.Members)) && len(mc.Runs) > 0:
-			n.log.Info("the lease of a suspect machine has run out", "machine", mc.Info.Name, "tasks", len(mc.Runs))
-			n.propose(&model.Entry{Kind: model.EntryLapsed, Machine: mc.ID})
-			n.dirty = true
 		case mc.Releasing:
+		case n.toReturnOfCut(r, mc):
 		case mc.Bad && len(mc.Runs) == 0:
 			n.giveUp(mc, "it is faulty")
 		case was(mc) && quiet(mc):
@@ -421,8 +418,33 @@
 // looks cut off.
 const cutPatience = 100 * time.Second
 
-// suspect makes a machine suspect: its lease runs out, and then its tasks start
-// elsewhere. It is left where it is, and of use again when the cut is over.
+// toReturnOfCut returns a suspect machine if that is due, and tells whether it did. That its lease is over does not prove its tasks gone: one that
+// hangs ends them only when it wakes, and they count until then (ran_twice, and ran_cancelled). The cloud's answer proves it, hung or
+// not, and the cloud belongs to no zone. Before the lease is over the machine is left alone, since work in a cut zone goes on; afterwards nothing is lost but its
+// images. While the cloud is down nothing is proven, and it is not marked either: the end of the cut may come first.
+func (n *Node) toReturnOfCut(r *role, mc *model.Machine) bool {
+	if !mc.Suspect || len(mc.Runs) == 0 || r.cloudDown {
+		return false
+	}
+	switch now := n.now(); {
+	case n.m.CancelledSince(mc, now) > n.cancelPatience():
+		n.giveUp(mc, "it is in a zone that is cut off, and holds what was cancelled long ago")
+	case mc.MayRunElsewhere() && mc.Lapsed(n.set.KeepBound(), n.lease(), n.ownRenewal(mc), now, len(n.set.Members)):
+		n.giveUp(mc, "it is in a zone that is cut off, its lease is over, and its work is wanted elsewhere")
+	default:
+		return false
+	}
+	return true
+}
+
+// cancelPatience is for how long a cancelled job may keep tasks on a machine of a cut zone before the machine is returned: its worker ends them
+// in time by itself, unless it hangs, and the rest of the time that a cancellation has is for the cloud.
+func (n *Node) cancelPatience() model.Time {
+	return config.Seconds(n.set.Params.Workers.CancelS * 3 / 4)
+}
+
+// suspect makes a machine suspect: its lease runs out. When that is over it is returned if its work may run elsewhere; otherwise
+// it is left where it is, and of use again when the cut is over.
 func (n *Node) suspect(mc *model.Machine) {
 	n.log.Info("machine in a zone that is cut off is suspect", "machine", mc.Info.Name, "zone", mc.Info.Zone, "tasks", len(mc.Runs))
 	seq := n.propose(&model.Entry{Kind: model.EntrySuspect, Machine: mc.ID})
--- a/internal/controller/meeting_test.go
+++ b/internal/controller/meeting_test.go
@@ -574,47 +574,48 @@
 	t.Log(late)
 }
 
-// TestHangOverTheEndOfALease: a machine of a zone that is cut off hangs while its lease runs out, and does not come to end its tasks. That the lease is over, by
-// the other controllers' word, is taken for their end, and they start elsewhere while they are still there. Known to fail (KNOWN-RED.txt).
+// TestHangOverTheEndOfALease: machines of a zone that is cut off hang while their leases run out, and do not come to end their tasks, which count until they
+// wake. They start elsewhere once the cloud has returned the machines; while the cloud is down, not at all.
 func TestHangOverTheEndOfALease(t *testing.T) {
-	inWorld(t, 37, func(w *standin.World) {
-		for i := range 3 {
-			w.Crash(i)
-			w.House(i, "a") // no controller stands in the zone that is cut
-		}
-		for i := range 3 {
-			w.Start(i)
-		}
-		settle(w, 2)
-		zone, held := "b", 0
-		for n := 3; n <= 5; n++ {
-			s := web(n, 3, "small")
-			s.Zone = &zone
-			w.Submit(s)
-		}
-		for n := 6; n <= 12; n++ { // and some that may go anywhere
-			j := spec(n, wire.Array, 2, 500)
-			j.CPUs, j.Priority = 0.5, wire.High
-			w.Submit(j)
-		}
-		time.Sleep(40 * time.Second)
-		for i := range 3 {
-			w.CutWorkers("b", i, true)
-		}
-		time.Sleep(15 * time.Second)
-		for _, wk := range w.Cloud.Up() {
-			if wk.Zone == "b" && w.Referee.Holds(wk.Name) {
-				wk.Hang(30 * time.Second)
-				held++
-			}
-		}
-		if held < 3 {
-			t.Fatalf("%d machines hang: the meeting did not take place", held)
-		}
-		time.Sleep(40 * time.Second)
-		for i := range 3 {
-			w.CutWorkers("b", i, false)
-		}
-		time.Sleep(30 * time.Second)
-	})
+	for _, away := range []bool{false, true} {
+		t.Run(fmt.Sprintf("cloud away %v", away), func(t *testing.T) {
+			inWorld(t, 37, func(w *standin.World) {
+				held := zoneWithoutController(w)
+				if len(held) < 3 {
+					t.Fatalf("%d machines hang: the meeting did not take place", len(held))
+				}
+				a, room := "a", spec(100, wire.Array, 4, 500) // there will be room elsewhere
+				room.Zone, room.Team, room.CPUs, room.Priority = &a, "blue", 3, wire.High
+				w.Submit(room)
+				time.Sleep(20 * time.Second)
+				if k := w.Referee.Running(room.ID); k != 4 {
+					t.Fatalf("%d tasks hold room elsewhere", k)
+				}
+				cutZoneB(w, true)
+				time.Sleep(15 * time.Second)
+				starts := w.Referee.Starts()
+				w.Cloud.SetOutage(away)
+				w.Cancel(room.ID)
+				for _, wk := range held {
+					wk.Hang(30 * time.Second)
+				}
+				time.Sleep(28 * time.Second)
+				if k := w.Referee.Starts() - starts; away != (k == 0) {
+					t.Errorf("%d tasks were started elsewhere, long after the leases", k)
+				}
+				time.Sleep(12 * time.Second)
+				w.Cloud.SetOutage(false)
+				cutZoneB(w, false)
+				time.Sleep(45 * time.Second)
+				if k := upOf(w, 5); k != 5 {
+					t.Errorf("%d of 5 services run at the end", k)
+				}
+				for n := 6; n <= 12; n++ {
+					if k := w.Referee.Running(wire.JobID(uint64(n))); k != 2 {
+						t.Errorf("%d of 2 tasks of job %d run at the end", k, n)
+					}
+				}
+			})
+		})
+	}
 }
--- a/internal/controller/renewed.go
+++ b/internal/controller/renewed.go
@@ -62,7 +62,7 @@
 	others := len(n.set.Members)
 	newest := make([]map[int32]uint64, others) // by node: zones, and the newest suspicion there that it has not answered for
 	for _, mc := range n.m.Order {
-		if !mc.Suspect || mc.SuspectFrom == 0 || len(mc.Runs) == 0 {
+		if !mc.Suspect || mc.Releasing || mc.SuspectFrom == 0 || len(mc.Runs) == 0 {
 			continue
 		}
 		for i := range n.set.Members {
--- a/internal/controller/users.go
+++ b/internal/controller/users.go
@@ -781,6 +781,7 @@
 			}
 		}
 		seq = n.propose(&model.Entry{Kind: model.EntryCancel, Job: id})
+		j.CancelledFrom = n.now()
 		n.whenCommitted(seq, func(ok bool) {
 			for _, mc := range on {
 				if ok {
--- a/internal/model/model.go
+++ b/internal/model/model.go
@@ -120,7 +120,7 @@
 	At        int64  // time of day of acceptance, ms
 	AcceptSeq uint64
 	FinalSeq  uint64
-	// CancelledFrom is, at a follower, from when its cancellation counts at the earliest; 0: for longer than this replica has followed.
+	// CancelledFrom is from when its cancellation counts at the earliest; 0: for longer than this replica has followed.
 	CancelledFrom Time
 	retry         []int32
 	next          int32
--- a/internal/model/observe.go
+++ b/internal/model/observe.go
@@ -1,6 +1,8 @@
 package model
 
 import (
+	"math"
+
 	"fieldhill/internal/hearing"
 	"fieldhill/internal/renewal"
 	"fieldhill/wire"
@@ -19,14 +21,16 @@
 //   - in a command of an earlier leader (Inherited): over once the worker
 //     reports a token of this term.
 //
-// The end of a worker's lease is evidence without its word, if no node can have
+// That a worker's lease is over is known without its word, if no node can have
 // renewed it. A machine that has long said nothing is made suspect by an entry:
 // a node that knows of it does not renew the lease, and a node whose copy of the
 // log is older stops at its bound, counted from that copy. So once the entry has
-// been committed for that bound and a lease, everything on the machine is gone;
-// a start that is still under way names a session that is over. If the leader
-// hears from the worker meanwhile it takes the suspicion back before it answers.
-// A leader counts from its own election if the entry is older.
+// been committed for that bound and a lease, the worker has ended everything on the
+// machine, or will as soon as it executes anything; a start that is still under way names a session that is over. That is
+// no evidence: a machine that hangs holds its tasks until it wakes. But nothing is lost any more by returning it, and the cloud's answer to that is
+// evidence. If the leader hears from the worker meanwhile it takes the suspicion back before it answers.
+// A leader counts from its own election if the entry is older. (EntryLapsed, by which older versions had the end of a lease end the runs, is
+// still read.)
 
 // BeginTerm makes the node that holds the model a leader: nothing observed
 // under earlier terms counts, and their commands may still be under way.
@@ -59,6 +63,31 @@
 	return renewal.Over(mc.SuspectFrom, bound+lease, now)
 }
 
+// MayRunElsewhere tells whether anything on a machine may run in another zone than its own once it is gone, or keeps its team from using
+// what it holds.
+func (mc *Machine) MayRunElsewhere() bool {
+	for _, r := range mc.Runs {
+		if r.Job.Cancelled || r.Job.Zone < 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// CancelledSince is for how long a job that has a task on a machine has been cancelled, of several the longest.
+func (m *Model) CancelledSince(mc *Machine, now Time) (since Time) {
+	for _, r := range mc.Runs {
+		switch {
+		case !r.Job.Cancelled:
+		case r.Job.CancelledFrom == 0:
+			return math.MaxInt64 // for longer than this replica has followed
+		default:
+			since = max(since, now-r.Job.CancelledFrom)
+		}
+	}
+	return since
+}
+
 // SuspectAt is the log's number of the entry that made a machine suspect.
 func (mc *Machine) SuspectAt() uint64 { return mc.suspectSeq }
 
