Tell nothing of a cancellation before the log surely has it; stop a cancelled job's tasks at once; odd requests alike at every node

Stops of a cancelled job go out when the cancellation is decided, beside its write, not after it: what starts after the confirmation is what no machine could be told of. A stop needs no log; one sent in vain is followed by another start. A new leader tells a machine of cancelled tasks as soon as it has asked it.

A job in the intake that was sent again with another body could be told 400 or 422: both look there first. A gang that must be spread and may be in one zone only can never run: 422.

The stand-ins lose answers alone, keep copies for the next leader, have machines that reach nobody, cancel at the end, look closely, and count starts after a confirmation and room left unused.

--- a/internal/controller/users.go
+++ b/internal/controller/users.go
@@ -248,6 +248,14 @@
 		entry = model.Accepted(spec, time.Now().UnixMilli())
 		send(&peer.Reply{Status: http.StatusCreated})
 	})
+	if isRefusal(reply) {
+		switch in, err := n.getIntake(ctx, num); {
+		case err != nil:
+			return noLeader
+		case in != nil: // accepted, as it was sent then
+			return api.Encode(http.StatusOK, &wire.JobStatus{ID: wire.JobID(num), State: wire.JobPending})
+		}
+	}
 	if reply.Status != http.StatusCreated {
 		return reply // the loop may not have come to it yet: the entry is not to be read
 	}
@@ -407,7 +415,21 @@
 		return api.Refuse(http.StatusBadRequest, err.Error())
 	}
 	spec, specErr := wire.ParseJob(body)
-	return n.inLoop(ctx, func(send func(*peer.Reply)) { n.submit(model.JobID(num), spec, specErr, send) })
+	submit := func(send func(*peer.Reply)) { n.submit(model.JobID(num), spec, specErr, send) }
+	r := n.inLoop(ctx, submit)
+	if isRefusal(r) {
+		// Another node may have taken it, as it was sent then, and this one not know yet.
+		if !n.lookIn(ctx, num) {
+			return noLeader
+		}
+		return n.inLoop(ctx, submit)
+	}
+	return r
+}
+
+// isRefusal tells whether an answer is final for a job that is not known: it is never given to one that was accepted.
+func isRefusal(r *peer.Reply) bool {
+	return r.Status == http.StatusBadRequest || r.Status == http.StatusUnprocessableEntity
 }
 
 func (n *Node) submit(id model.JobID, spec *wire.JobSpec, specErr error, send func(*peer.Reply)) {
@@ -508,25 +530,37 @@
 	return max(20_000, int(n.set.Params.Limits.MemoryMB*(1<<20)/4/200))
 }
 
-// tellKnown answers for a job that is known, once what is told is committed.
+// tellFrom is the number of the batch that must be in the log before anything is told of a job: that of its end, or of its cancellation, if there is one.
+// Until then it can't be told without either: a batch is read by the others as soon as it is carried out, and its writer may
+// wait for the answer for seconds, so another node may have told of it already.
+func (n *Node) tellFrom(id model.JobID) (seq uint64, known bool) {
+	j := n.m.Jobs[id]
+	switch {
+	case j != nil && j.Cancelled:
+		return j.FinalSeq, true
+	case j != nil:
+		return j.AcceptSeq, true
+	}
+	return n.m.FinalAt(id), n.m.Finals[id] != 0
+}
+
+// tellKnown answers for a job that is known, once what is told is committed. What comes to pass while that is waited for is waited for too.
 func (n *Node) tellKnown(id model.JobID, send func(*peer.Reply)) bool {
-	var seq uint64
-	if j := n.m.Jobs[id]; j != nil {
-		seq = j.AcceptSeq
-	} else if n.m.Finals[id] != 0 {
-		seq = n.m.FinalAt(id)
-	} else {
+	seq, known := n.tellFrom(id)
+	if !known {
 		return false
 	}
 	n.whenCommitted(seq, func(ok bool) {
-		// While its acceptance was being written, the job may have ended. That is told no
-		// sooner than the log has it: the next leader may know of no end.
-		if ok && n.m.Finals[id] != 0 && n.m.FinalAt(id) > n.role.committed {
+		if !ok {
+			send(noLeader)
+			return
+		}
+		if at, known := n.tellFrom(id); known && at > n.role.committed {
 			n.tellKnown(id, send)
 			return
 		}
 		s := n.status(id)
-		if !ok || s == nil {
+		if s == nil {
 			send(noLeader)
 			return
 		}
@@ -774,21 +808,9 @@
 	case j.Cancelled:
 		seq = j.FinalSeq
 	default:
-		var on []*model.Machine
-		for i := range j.Tasks {
-			if r := j.Tasks[i].Run; r != nil {
-				on = append(on, r.Machine)
-			}
-		}
 		seq = n.propose(&model.Entry{Kind: model.EntryCancel, Job: id})
 		j.CancelledFrom = n.now()
-		n.whenCommitted(seq, func(ok bool) {
-			for _, mc := range on {
-				if ok {
-					n.touch(mc)
-				}
-			}
-		})
+		n.stopAll(j)
 		n.log.Debug("job cancelled", "job", wire.JobID(uint64(id)))
 	}
 	n.whenCommitted(seq, func(ok bool) {
@@ -801,6 +823,25 @@
 	})
 }
 
+// stopAll stops what a cancelled job has on machines, before the log has the cancellation: a stop that is sent in vain is decided again or made good
+// by another start, and its user has no use for the job. So next to nothing of it starts after the user is told, which is when the log has it.
+func (n *Node) stopAll(j *model.Job) {
+	var unsent []*model.Run
+	for i := range j.Tasks {
+		switch r := j.Tasks[i].Run; {
+		case r == nil:
+		case r.Unsent(n.role.committed):
+			unsent = append(unsent, r)
+		default:
+			n.touch(r.Machine)
+			n.direct(r.Machine)
+		}
+	}
+	for _, r := range unsent {
+		n.propose(&model.Entry{Kind: model.EntryEnded, Job: r.Job.ID, Task: r.Task, Attempt: r.Attempt})
+	}
+}
+
 // Ready tells whether the node can take requests.
 func (n *Node) Ready() bool {
 	// What was found before this node stood still says nothing of now.
--- a/internal/controller/workers.go
+++ b/internal/controller/workers.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"slices"
 	"time"
 
 	"fieldhill/internal/api"
@@ -230,6 +231,9 @@
 	if len(v.Entries) > 0 {
 		n.touch(mc) // the worker is told to forget what is logged
 	}
+	if first && q != nil && slices.ContainsFunc(mc.Runs, func(r *model.Run) bool { return r.Job.Cancelled }) {
+		n.touch(mc) // its next report may be long in coming, while it looks for this leader
+	}
 	return v
 }
 
--- a/internal/model/model.go
+++ b/internal/model/model.go
@@ -454,8 +454,11 @@
 			}
 		}
 	}
-	if len(zones) == 0 {
+	switch {
+	case len(zones) == 0:
 		return "fits no allowed machine type"
+	case kindOf(s.Shape) == Gang && s.Tasks > 1 && s.Spread && (s.SameZone || len(zones) < 2):
+		return "spread leaves no place for all tasks of the gang in one zone"
 	}
 	return ""
 }
--- a/internal/model/observe.go
+++ b/internal/model/observe.go
@@ -447,7 +447,9 @@
 			if !r.Hard && r.Job.Spec.CheckpointS > 0 {
 				*c.GraceS = r.Job.Spec.SaveS + 1
 			}
-		case r.Job.Cancelled && committed >= r.Job.FinalSeq:
+		case r.Job.Cancelled && committed >= r.Seq:
+			// The cancellation itself need not be in the log yet: nothing is told by a stop, and one that is sent in vain
+			// ends an attempt, which is reported and followed by another.
 			c.Verb, c.GraceS = wire.Stop, new(float64)
 		default:
 			continue
--- a/internal/standin/referee.go
+++ b/internal/standin/referee.go
@@ -18,6 +18,8 @@
 	on      map[string]map[string]bool // task: machines where it has its image and is not gone
 	broken  []string
 	starts  int
+	close   int  // answers to questions that came within a moment after a job was accepted, ended or cancelled
+	late    int  // starts of jobs whose cancellation was confirmed
 	calm    bool // all troubles are over
 }
 
@@ -56,9 +58,11 @@
 	asked     bool // its user asked to cancel it
 	cancelled time.Time
 	zones     map[int]string // where each task is
+	changed   time.Time      // when it was told to be accepted, done or cancelled
 	known     time.Time      // when its user began to submit it
 	begun     time.Time      // when its first task started, of a gang all at once; zero: not yet
 	unheard   time.Time      // since when no question about it was answered, all troubles over; zero: the last one was
+	couldFrom time.Time      // since when a task of it waits, all troubles over, though a machine that fits has room and its team is under its limit
 	upS       float64        // replicas' seconds, from replicaFrom on
 	wantedS   float64
 }
@@ -148,6 +152,9 @@
 	if !t.cancelled.IsZero() && time.Since(t.cancelled) > f.cancelS {
 		f.broke("ran_cancelled", "%s starts %v after its cancellation", task, time.Since(t.cancelled))
 	}
+	if !t.cancelled.IsZero() {
+		f.late++
+	}
 	t.starts++
 	f.on[task][mc.Name] = true
 	t.zones[k] = mc.Zone
@@ -220,15 +227,19 @@
 type Known struct {
 	accepted bool
 	told     string
+	soon     bool // that had just been told
 }
 
+// soonAfter is within which time after that a question counts as a close look.
+const soonAfter = 100 * time.Millisecond
+
 // Before returns what users know of a job now.
 func (f *Referee) Before(id string) Known {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	n, _ := wire.JobNumber(id)
 	if t := f.jobs[n]; t != nil {
-		return Known{t.accepted, t.told}
+		return Known{t.accepted, t.told, !t.changed.IsZero() && time.Since(t.changed) < soonAfter}
 	}
 	return Known{}
 }
@@ -250,9 +261,14 @@
 	case code != 200 && code != 201:
 		return
 	}
+	if before.soon {
+		f.close++
+	}
 	t.unheard = time.Time{}
-	if what == "submit" || what == "poll" {
-		t.accepted = true
+	if was := t.accepted; what == "submit" || what == "poll" {
+		if t.accepted = true; !was {
+			t.changed = time.Now()
+		}
 	}
 	if s.State == wire.JobDone && len(t.done) < t.spec.Tasks {
 		f.broke("not_done", "%s of %s says done, %d of %d are", what, id, len(t.done), t.spec.Tasks)
@@ -264,6 +280,9 @@
 		f.broke("went_back", "%s is called cancelled, its user did not cancel it", id)
 	}
 	if s.State == wire.JobDone || s.State == wire.JobCancelled {
+		if t.told == "" {
+			t.changed = time.Now()
+		}
 		t.told = s.State
 	}
 	if s.State == wire.JobCancelled && t.cancelled.IsZero() {
@@ -278,6 +297,29 @@
 	return append([]string(nil), f.broken...)
 }
 
+// last tells whether a task is the only one of its job that is not done.
+func (f *Referee) last(task string) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	n, k, _ := wire.ParseTaskID(task)
+	t := f.jobs[n]
+	return t != nil && t.accepted && !t.asked && !t.done[k] && len(t.done) == t.spec.Tasks-1
+}
+
+// CloseLooks counts the answers to questions that came within a moment after a job was told to be accepted, done or cancelled.
+func (f *Referee) CloseLooks() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.close
+}
+
+// LateStarts counts the tasks that were started after the cancellation of their job was confirmed, within the time that the protocol leaves.
+func (f *Referee) LateStarts() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.late
+}
+
 // Starts counts the tasks that were started.
 func (f *Referee) Starts() int {
 	f.mu.Lock()
--- a/internal/standin/state.go
+++ b/internal/standin/state.go
@@ -40,6 +40,8 @@
 	lateBy                  time.Duration   // by how much an unanswered transaction may be applied late
 	lateFrom                time.Duration   // and by how much at least
 	late                    map[string]int  // what was carried out late, by the kind of its first write
+	atOnce                  float64         // chance that a transaction is carried out at once and its answer alone is lost
+	silent                  map[string]int  // of how many that was so, by the kind of their first write
 	rps, changes            *rate.Limiter   // nil: any number
 }
 
@@ -83,6 +85,20 @@
 	s.loseAnswer, s.loseRequest, s.lateFrom, s.lateBy = share, 0, 2*time.Second, by
 }
 
+// LoseAnswers has a share of the transactions carried out at once while their answers are lost: their sender waits in vain, or its connection breaks.
+func (s *State) LoseAnswers(share float64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.atOnce = share
+}
+
+// Lost counts the answers that were lost so, by kind as Lates does.
+func (s *State) Lost() map[string]int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return maps.Clone(s.silent)
+}
+
 // Lates counts what was carried out late, by kind: the start of the key that it wrote or deleted first.
 func (s *State) Lates() map[string]int {
 	s.mu.Lock()
@@ -253,7 +269,7 @@
 		}
 		answer(w, 200, m{"key": "k", "value": e.value, "stamp": e.ver, "permit": e.lease})
 	case r.URL.Path == wire.PathTxn:
-		s.txn(w, body)
+		s.txn(w, body, r.Context().Done())
 	case r.URL.Path == wire.PathFollow:
 		s.follow(w, r)
 	default:
@@ -288,7 +304,7 @@
 	} `msgpack:"writes"`
 }
 
-func (s *State) txn(w http.ResponseWriter, body []byte) {
+func (s *State) txn(w http.ResponseWriter, body []byte, gone <-chan struct{}) {
 	var t rawTxn
 	if err := wire.Unmarshal(body, &t); err != nil {
 		answer(w, 400, m{"error": err.Error()})
@@ -300,6 +316,26 @@
 	if loseR {
 		panic(http.ErrAbortHandler)
 	}
+	s.mu.Lock()
+	silent, breaks := s.rng.Float64() < s.atOnce, s.rng.IntN(2) == 0
+	s.mu.Unlock()
+	if silent {
+		if code, _ := s.apply(&t); code == 200 && len(t.Then) > 0 {
+			s.mu.Lock()
+			if s.silent == nil {
+				s.silent = map[string]int{}
+			}
+			s.silent[kindOf(t.Then[0].Put, t.Then[0].Delete)]++
+			s.mu.Unlock()
+		}
+		if !breaks {
+			select {
+			case <-gone:
+			case <-time.After(5 * time.Second):
+			}
+		}
+		panic(http.ErrAbortHandler)
+	}
 	if loseA {
 		go func() {
 			time.Sleep(late)
--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -32,6 +32,7 @@
 	sick     bool
 	lost     bool          // the machine is gone
 	deaf     bool          // its reports arrive, answers and commands don't reach it
+	mute     bool          // it reaches no controller, direct commands and questions reach it
 	held     time.Duration // direct commands are held up by so much, their senders get no answer
 	holding  int           // how many were
 	life     int           // how often it was started again
@@ -119,6 +120,13 @@
 	w.deaf = on
 }
 
+// Silence has the machine reach no controller, while direct commands and questions reach it, or ends that.
+func (w *Worker) Silence(on bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.mute = on
+}
+
 // Hold has direct commands to the machine held up from now on: their senders get no answer, and they are carried out so much
 // later if token and session still match. 0 ends that for those that come from then on.
 func (w *Worker) Hold(d time.Duration) {
@@ -226,6 +234,7 @@
 			}
 			if t.spec.Shape != wire.Service {
 				if t.left -= step; t.left <= 0 {
+					w.world.ending(t.id)
 					w.exit(t, wire.CauseDone, false)
 				}
 			}
@@ -410,9 +419,18 @@
 		rep := w.report()
 		node := w.world.nodes[w.target%len(w.world.nodes)]
 		next = now.Add(time.Duration((0.75 + 0.5*w.rng.Float64()) * float64(w.world.report)))
-		life := w.life
-		w.sent = rep
+		life, mute := w.life, w.mute
+		if !mute {
+			w.sent = rep
+		}
 		w.mu.Unlock()
+		if mute {
+			time.Sleep(500 * time.Millisecond) // no connection is made
+			w.mu.Lock()
+			w.target++
+			w.mu.Unlock()
+			continue
+		}
 		w.world.copyLater(node.bind, rep)
 		rctx, cancel := context.WithTimeout(ctx, 4*time.Second)
 		var a wire.ReportAnswer
--- a/internal/standin/world.go
+++ b/internal/standin/world.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"net/http"
 	"sort"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -42,6 +43,10 @@
 	lateBy                  time.Duration
 	copies                  float64 // chance that a report comes again
 	copiesBy                time.Duration
+	keep                    float64    // chance that a copy of a report is kept for the next leader
+	kept                    []keptCopy // those that are
+	atEnd                   float64    // chance that a job is cancelled at the moment of its end
+	atEnds                  int        // how often that was so
 	gangDone                map[string]bool
 	mistakes                map[string]bool // jobs that fail on every machine
 	wrong                   float64         // tasks run so many times as long as their owners say; 0: 1
@@ -119,6 +124,7 @@
 		for ctx.Err() == nil {
 			time.Sleep(checkEvery)
 			w.Referee.Check()
+			w.checkRoom()
 		}
 	}()
 	return w, nil
@@ -214,6 +220,9 @@
 func (w *World) copyLater(to string, rep *wire.Report) {
 	w.mu.Lock()
 	again, late := false, time.Duration(0)
+	if w.keep > 0 && w.rng.Float64() < w.keep {
+		w.kept = append(w.kept, keptCopy{rep})
+	}
 	if w.copies > 0 {
 		again, late = w.rng.Float64() < w.copies, time.Duration(w.rng.Float64()*float64(w.copiesBy))
 	}
@@ -238,6 +247,87 @@
 	_ = c.Do(ctx, "POST", to, wire.PathReport, rep, &wire.ReportAnswer{}, wire.MaxBody)
 }
 
+// keptCopy is a copy of a report.
+type keptCopy struct{ rep *wire.Report }
+
+// KeepCopies sets the chance that a copy of a report is kept for the next leader.
+func (w *World) KeepCopies(share float64) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.keep = share
+}
+
+// SendKept sends the copies that were kept to every node, all at once, and counts them. Each machine's oldest, one in the middle and its newest are sent.
+func (w *World) SendKept() int {
+	w.mu.Lock()
+	by := map[string][]keptCopy{}
+	for _, c := range w.kept {
+		by[c.rep.Machine] = append(by[c.rep.Machine], c)
+	}
+	w.kept = nil
+	w.mu.Unlock()
+	sent := 0
+	for _, list := range by {
+		for _, k := range []int{0, len(list) / 2, len(list) - 1} {
+			for _, nd := range w.nodes {
+				sent++
+				go w.SendCopy(nd.bind, list[k].rep)
+			}
+		}
+	}
+	return sent
+}
+
+// CancelAtEnd sets the chance that a user calls off a job at the moment at which its last task ends.
+func (w *World) CancelAtEnd(share float64) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.atEnd = share
+}
+
+// AtEnds counts the jobs that were called off so.
+func (w *World) AtEnds() int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.atEnds
+}
+
+// ending is told of each task that ends as done, just before.
+func (w *World) ending(task string) {
+	w.mu.Lock()
+	chosen := w.atEnd > 0 && w.rng.Float64() < w.atEnd
+	early := time.Duration(w.rng.IntN(30)) * time.Millisecond
+	w.mu.Unlock()
+	if !chosen || !w.Referee.last(task) {
+		return
+	}
+	w.mu.Lock()
+	w.atEnds++
+	w.mu.Unlock()
+	id, _, _ := strings.Cut(task, "/")
+	go func() {
+		time.Sleep(early)
+		w.Cancel(id)
+	}()
+}
+
+// Look has users ask for a job at all nodes, so many times with a short pause between them, and repeat its submission.
+func (w *World) Look(s *wire.JobSpec, times int, pause time.Duration) {
+	b, err := wire.Marshal(s)
+	if err != nil {
+		panic(err)
+	}
+	for k := range times {
+		for i := range w.nodes {
+			go w.CallAt(i, "poll", s.ID, nil)
+			if k%3 == 0 {
+				go w.CallAt(i, "submit", s.ID, b)
+			}
+		}
+		time.Sleep(pause)
+	}
+}
+
 // House has a node, which does not run, stand in a zone from its next start on.
 func (w *World) House(node int, zone string) { w.nodes[node].zone = zone }
 
