--- a/internal/controller/main_test.go
+++ b/internal/controller/main_test.go
@@ -6,4 +6,4 @@
 	"fieldhill/internal/bubble"
 )
 
-func TestMain(m *testing.M) { bubble.Main(m) }
+func TestMain(m *testing.M) { bubble.MainApart(m) }
