--- /dev/null
+++ b/internal/controller/machines_test.go
@@ -0,0 +1,254 @@
+package controller
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"fieldhill/internal/config"
+	"fieldhill/internal/standin"
+	"fieldhill/wire"
+)
+
+// These tests bring about meetings with what machines do.
+
+type teamOf = config.Team
+
+// TestUpAtOnce: machines are up within two seconds, or before the cloud has answered, and get work at once, while transactions are carried out late and the leader ends. Machines that run
+// tasks before anybody but their leader knows them, whose rental has no answer yet: they are used or returned, and nothing starts twice.
+func TestUpAtOnce(t *testing.T) {
+	var young atomic.Int64
+	meet(t, 2, 80, func(t *testing.T, w *standin.World, seed uint64, rng *rand.Rand) {
+		time.Sleep(6 * time.Second)
+		w.Cloud.Boots(0.001+0.2*rng.Float64(), 0)
+		w.Cloud.LoseAnswers(0.4)
+		w.State.Late(0.2, 10*time.Second)
+		var open []string
+		n := 10
+		for range 6 {
+			before := len(w.Cloud.Up())
+			for range 2 + rng.IntN(3) {
+				s := web(n, 2+2*rng.Float64(), "small")
+				if rng.IntN(2) == 0 {
+					s.CPUs, s.Types, s.MemoryGB, s.Team = 3, []string{"large"}, 40, "blue"
+				}
+				n++
+				w.Referee.Know(s)
+				go w.Submit(s)
+				open = append(open, s.ID)
+			}
+			for range 40 { // until some are up
+				time.Sleep(50 * time.Millisecond)
+				if len(w.Cloud.Up()) > before {
+					break
+				}
+			}
+			time.Sleep(time.Duration(rng.IntN(1500)) * time.Millisecond)
+			young.Add(int64(max(0, len(w.Cloud.Up())-before)))
+			w.Restart(max(0, leaderOf()), time.Duration(20+rng.IntN(900))*time.Millisecond)
+			time.Sleep(time.Duration(rng.IntN(4000)) * time.Millisecond)
+			for k := 0; k < len(open); k++ {
+				if rng.IntN(4) == 0 {
+					go w.Cancel(open[k])
+				}
+			}
+		}
+		w.Cloud.LoseAnswers(0)
+		w.State.Late(0, 0)
+		w.Cloud.Boots(1, 0)
+		endWell(t, w, open)
+	})
+	if young.Load() < 6 {
+		t.Errorf("%d machines were just up as their leader ended: the meeting did not take place", young.Load())
+	}
+}
+
+// TestMute: workers can't open connections to any controller, while questions and direct commands reach them, for longer than a lease: one machine, a zone, or all of them; jobs are
+// cancelled meanwhile, and the leader changes. Afterwards all run.
+func TestMute(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		mute func(wk *standin.Worker, k int) bool
+	}{
+		{"one", func(_ *standin.Worker, k int) bool { return k == 0 }},
+		{"a zone", func(wk *standin.Worker, _ int) bool { return wk.Zone == "b" }},
+		{"all", func(*standin.Worker, int) bool { return true }},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			meet(t, 1, 82, func(t *testing.T, w *standin.World, seed uint64, rng *rand.Rand) {
+				settle(w, 4)
+				for n := 100; n < 108; n++ {
+					j := spec(n, wire.Array, 2, 1000)
+					j.CPUs, j.Priority = 0.5, wire.High
+					w.Submit(j)
+				}
+				time.Sleep(20 * time.Second)
+				starts, k := w.Referee.Starts(), 0
+				for _, wk := range w.Cloud.Up() {
+					if w.Referee.Holds(wk.Name) && c.mute(wk, k) {
+						wk.Silence(true)
+						k++
+					}
+				}
+				if k == 0 {
+					t.Fatal("no machine is mute: the meeting did not take place")
+				}
+				time.Sleep(time.Duration(5+rng.IntN(15)) * time.Second)
+				for n := 100; n < 103; n++ {
+					if code := w.Cancel(wire.JobID(uint64(n))); code != 200 {
+						t.Errorf("a cancellation got %d", code)
+					}
+				}
+				w.Restart(max(0, leaderOf()), 300*time.Millisecond)
+				time.Sleep(75 * time.Second)
+				t.Logf("%d mute machines, %d tasks started anew, %d of 4 services up", k, w.Referee.Starts()-starts, upOf(w, 4))
+				for _, wk := range w.Cloud.Up() {
+					wk.Silence(false)
+				}
+				time.Sleep(40 * time.Second)
+				if up := upOf(w, 4); up != 4 {
+					t.Errorf("%d of 4 services run", up)
+				}
+				for n := 103; n < 108; n++ {
+					if k := w.Referee.Running(wire.JobID(uint64(n))); k != 2 {
+						t.Errorf("%d of 2 tasks of job %d run", k, n)
+					}
+				}
+			})
+		})
+	}
+}
+
+// TestBoundToAZone: arrays, gangs and services that must be in one zone lose its machines, taken, hanging and begun anew, with a change of leader; there is more work than
+// room, and images come over slow links. All of it is done, there.
+func TestBoundToAZone(t *testing.T) {
+	meet(t, 1, 84, func(t *testing.T, w *standin.World, seed uint64, rng *rand.Rand) {
+		w.Cloud.Capacity(2)
+		w.Fetch(8 * time.Second)
+		time.Sleep(6 * time.Second)
+		b := "b"
+		var ids []string
+		for n := 1; n <= 24; n++ {
+			j := spec(n, wire.Array, 2+rng.IntN(8), 3+5*rng.Float64())
+			j.Image = fmt.Sprint("img-", n%4)
+			switch n % 4 {
+			case 0:
+				j.Shape, j.Tasks, j.CheckpointS, j.SaveS, j.Priority, j.SameZone = wire.Gang, 1+rng.IntN(3), 3, 1, wire.High, true
+			case 1:
+				j.Team = "blue"
+			}
+			if n%3 > 0 {
+				j.Zone = &b
+			}
+			w.Submit(j)
+			ids = append(ids, j.ID)
+		}
+		lost := 0
+		for range 6 {
+			time.Sleep(time.Duration(4000+rng.IntN(9000)) * time.Millisecond)
+			up := slices.DeleteFunc(w.Cloud.Up(), func(wk *standin.Worker) bool { return wk.Zone != b || !w.Referee.Holds(wk.Name) })
+			for _, wk := range up {
+				switch lost++; rng.IntN(4) {
+				case 0:
+					w.Cloud.Take(wk.Name)
+				case 1:
+					wk.Hang(time.Duration(rng.IntN(40)) * time.Second)
+				case 2:
+					wk.Reboot(rng.IntN(2) == 0)
+				default:
+					lost--
+				}
+			}
+			if rng.IntN(2) == 0 {
+				w.Restart(max(0, leaderOf()), time.Duration(20+rng.IntN(300))*time.Millisecond)
+			}
+		}
+		if lost < 3 {
+			t.Errorf("%d machines of the zone were lost: the meeting did not take place", lost)
+		}
+		w.Referee.Calm()
+		for _, id := range ids {
+			waitFor(t, w, id, wire.JobDone, 8*time.Minute)
+		}
+	})
+}
+
+// TestFlood: one-task jobs come four a second for minutes, a quarter cancelled, some at the moment of their end; with the state service's limits. Each is taken within a second, no poll is starved, all
+// come to their end, and the log does not fall behind.
+func TestFlood(t *testing.T) {
+	meet(t, 1, 86, func(t *testing.T, w *standin.World, seed uint64, rng *rand.Rand) {
+		w.State.Limit(w.Params.State.RPS, w.Params.State.WriteRPS)
+		settle(w, 3)
+		w.CancelAtEnd(0.08)
+		const jobs = 480 // two minutes
+		var slow, refused, unanswered, polls atomic.Int64
+		over := make(chan struct{})
+		go func(rng *rand.Rand) {
+			for {
+				select {
+				case <-over:
+					return
+				case <-time.After(60 * time.Millisecond):
+				}
+				go func(id string) {
+					polls.Add(1)
+					began := time.Now()
+					if code, _ := w.Call("poll", id, nil); code != 200 && code != 404 || time.Since(began) > 2*time.Second {
+						unanswered.Add(1)
+					}
+				}(wire.JobID(uint64(100 + rng.IntN(jobs))))
+			}
+		}(rand.New(rand.NewPCG(seed, 87)))
+		cancels := 0
+		for n := range jobs {
+			j := spec(100+n, wire.Array, 1, 4+10*rng.Float64())
+			j.CPUs, j.MemoryGB, j.Image = 0.25, 0.2, fmt.Sprint("img-", n%3)
+			after := time.Duration(-1)
+			if rng.IntN(6) == 0 {
+				after = time.Duration(rng.IntN(8000)) * time.Millisecond
+				cancels++
+			}
+			w.Referee.Know(j)
+			go func() {
+				began := time.Now()
+				code := w.Submit(j)
+				if code != 201 && code != 200 {
+					refused.Add(1)
+				}
+				if time.Since(began) > time.Second {
+					slow.Add(1)
+				}
+				if after >= 0 {
+					time.Sleep(after)
+					w.Cancel(j.ID)
+				}
+			}()
+			time.Sleep(250 * time.Millisecond)
+		}
+		cancels += w.AtEnds()
+		time.Sleep(60 * time.Second)
+		close(over)
+		t.Logf("%d cancelled; %d submissions slow, %d refused; %d of %d polls unanswered", cancels, slow.Load(), refused.Load(), unanswered.Load(), polls.Load())
+		if cancels < jobs/6 {
+			t.Errorf("%d of %d jobs were cancelled: the meeting did not take place", cancels, jobs)
+		}
+		if slow.Load() > jobs/50 || refused.Load() > 0 || unanswered.Load() > polls.Load()/100 {
+			t.Errorf("%d submissions took longer than a second, %d were refused; %d of %d polls got no answer", slow.Load(), refused.Load(), unanswered.Load(), polls.Load())
+		}
+		for n := range jobs {
+			if code, s := w.Call("poll", wire.JobID(uint64(100+n)), nil); code != 200 || s.State != wire.JobDone && s.State != wire.JobCancelled {
+				t.Errorf("%d: %d %+v", 100+n, code, s)
+			}
+		}
+		if nd := nodeAt(max(0, leaderOf())); nd != nil {
+			nd.ask(func() {
+				if nd.role == nil || len(nd.role.queue) > 2 || len(nd.m.Jobs) > 3 {
+					t.Errorf("the log is behind: %d jobs are open", len(nd.m.Jobs))
+				}
+			})
+		}
+	})
+}
--- a/internal/controller/meeting_test.go
+++ b/internal/controller/meeting_test.go
@@ -575,10 +575,22 @@
 }
 
 // TestHangOverTheEndOfALease: machines of a zone that is cut off hang while their leases run out, and do not come to end their tasks, which count until they
-// wake. They start elsewhere once the cloud has returned the machines; while the cloud is down, not at all.
+// wake. They start elsewhere once the cloud has returned the machines; while the cloud is down, not at all; and if the leader ends while they are being returned, by the word that the next one gets.
 func TestHangOverTheEndOfALease(t *testing.T) {
-	for _, away := range []bool{false, true} {
-		t.Run(fmt.Sprintf("cloud away %v", away), func(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		begin func(w *standin.World)
+		then  func(w *standin.World)
+		waits bool
+	}{
+		{"cloud there", func(*standin.World) {}, func(*standin.World) {}, false},
+		{"cloud away", func(w *standin.World) { w.Cloud.SetOutage(true) }, func(*standin.World) {}, true},
+		{"leader ends", func(w *standin.World) { w.Cloud.Delay(20 * time.Second) }, func(w *standin.World) {
+			w.Restart(max(0, leaderOf()), 200*time.Millisecond)
+			w.Cloud.Delay(0)
+		}, true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
 			inWorld(t, 37, func(w *standin.World) {
 				held := zoneWithoutController(w)
 				if len(held) < 3 {
@@ -594,15 +606,16 @@
 				cutZoneB(w, true)
 				time.Sleep(15 * time.Second)
 				starts := w.Referee.Starts()
-				w.Cloud.SetOutage(away)
+				c.begin(w)
 				w.Cancel(room.ID)
 				for _, wk := range held {
 					wk.Hang(30 * time.Second)
 				}
 				time.Sleep(28 * time.Second)
-				if k := w.Referee.Starts() - starts; away != (k == 0) {
+				if k := w.Referee.Starts() - starts; c.waits != (k == 0) {
 					t.Errorf("%d tasks were started elsewhere, long after the leases", k)
 				}
+				c.then(w)
 				time.Sleep(12 * time.Second)
 				w.Cloud.SetOutage(false)
 				cutZoneB(w, false)
--- a/internal/controller/pairs_test.go
+++ b/internal/controller/pairs_test.go
@@ -122,6 +122,88 @@
 		w.Cloud.SetOutage(true)
 		return func() { w.Cloud.SetOutage(false) }
 	}},
+	{"answers of transactions lost", func(w *standin.World, rng *rand.Rand) func() {
+		w.State.LoseAnswers(0.1 + 0.4*rng.Float64())
+		return func() { w.State.LoseAnswers(0) }
+	}},
+	{"copies for the next leader", func(w *standin.World, _ *rand.Rand) func() {
+		w.KeepCopies(0.5)
+		time.Sleep(4 * time.Second)
+		old := max(0, leaderOf())
+		w.Kill(old)
+		for began := time.Now(); time.Since(began) < 8*time.Second; time.Sleep(20 * time.Millisecond) {
+			if l := leaderOf(); l >= 0 && l != old {
+				break
+			}
+		}
+		w.SendKept()
+		w.Start(old)
+		return func() { w.SendKept(); w.KeepCopies(0) }
+	}},
+	{"machines reach nobody", func(w *standin.World, rng *rand.Rand) func() {
+		zone := rng.IntN(2) == 0
+		var mute []*standin.Worker
+		for _, wk := range w.Cloud.Up() {
+			if zone && wk.Zone == "b" || !zone && rng.IntN(3) == 0 {
+				wk.Silence(true)
+				mute = append(mute, wk)
+			}
+		}
+		return func() {
+			for _, wk := range mute {
+				wk.Silence(false)
+			}
+		}
+	}},
+	{"many cancelled at once, and machines hang", func(w *standin.World, rng *rand.Rand) func() {
+		lasts := time.Duration(rng.IntN(60)) * time.Second
+		for _, id := range w.Referee.Open(6) {
+			go w.Cancel(id)
+		}
+		hung := 0
+		for _, wk := range w.Cloud.Up() {
+			if hung < 8 && w.Referee.Holds(wk.Name) && rng.IntN(2) == 0 {
+				wk.Hang(lasts)
+				hung++
+			}
+		}
+		return func() {}
+	}},
+	{"cancelled at the end", func(w *standin.World, _ *rand.Rand) func() {
+		w.CancelAtEnd(0.5)
+		return func() { w.CancelAtEnd(0) }
+	}},
+	{"odd requests and close looks", func(w *standin.World, rng *rand.Rand) func() {
+		for k, id := range w.Referee.Open(4) {
+			n, _ := wire.JobNumber(id)
+			go w.Look(w.Referee.Spec(n), 10, 30*time.Millisecond)
+			if k == 0 {
+				go w.Cancel(id)
+			}
+		}
+		for k := range 4 {
+			bad := spec(900000+rng.IntN(90000), wire.Array, 1, 5)
+			if bad.Team = "green"; k%2 == 0 {
+				bad.Team, bad.CPUs = "red", 40
+			}
+			b, _ := wire.Marshal(bad)
+			go w.Call("submit", bad.ID, b)
+		}
+		return func() {}
+	}},
+	{"machines up at once", func(w *standin.World, _ *rand.Rand) func() {
+		w.Cloud.Boots(0.001, 0)
+		w.Cloud.LoseAnswers(0.3)
+		return func() { w.Cloud.Boots(1, 0); w.Cloud.LoseAnswers(0) }
+	}},
+	{"machines taken", func(w *standin.World, rng *rand.Rand) func() {
+		for _, wk := range w.Cloud.Up() {
+			if rng.IntN(3) == 0 {
+				w.Cloud.Take(wk.Name)
+			}
+		}
+		return func() {}
+	}},
 	{"leader ends", func(w *standin.World, rng *rand.Rand) func() {
 		w.Restart(max(0, leaderOf()), time.Duration(20+rng.IntN(1000))*time.Millisecond)
 		return func() {}
@@ -161,6 +243,7 @@
 
 func playPairs(t *testing.T, w *standin.World, rng *rand.Rand) (met []string) {
 	w.State.Limit(w.Params.State.RPS, w.Params.State.WriteRPS)
+	crowded := rng.IntN(3) == 0 // teams are at their limits
 	settle(w, 3)
 	open := []string{wire.JobID(1), wire.JobID(2), wire.JobID(3)}
 	over := make(chan struct{})
@@ -181,6 +264,12 @@
 			case 1:
 				s.Shape, s.Tasks, s.Spread, s.Class, s.Priority = wire.Service, 1+rng.IntN(3), true, "web", wire.Production
 			}
+			if rng.IntN(2) == 0 {
+				s.Team = "blue"
+			}
+			if crowded {
+				s.CPUs = 2
+			}
 			open = append(open, s.ID)
 			w.Referee.Know(s)
 			go w.Submit(s)
--- a/internal/controller/world_test.go
+++ b/internal/controller/world_test.go
@@ -808,7 +808,7 @@
 // endWell demands that all ends well once all troubles are over: nobody is forgotten, and once all jobs are cancelled nothing is left behind.
 func endWell(t *testing.T, w *standin.World, open []string) {
 	w.Referee.Calm()
-	for range 18 { // nobody is forgotten: each job is asked about, as users do
+	for range 20 { // nobody is forgotten, and none waits for long: each job is asked about, as users do
 		for _, id := range open {
 			go w.Call("poll", id, nil)
 		}
--- a/internal/standin/referee.go
+++ b/internal/standin/referee.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"sync"
 	"time"
 
@@ -156,6 +157,7 @@
 		f.late++
 	}
 	t.starts++
+	t.couldFrom = time.Time{}
 	f.on[task][mc.Name] = true
 	t.zones[k] = mc.Zone
 	if t.begun.IsZero() && (s.Shape != wire.Gang || len(t.zones) == s.Tasks) {
@@ -313,6 +315,28 @@
 	return f.close
 }
 
+// Open lists some jobs that have tasks on machines, and that nobody has asked to cancel.
+func (f *Referee) Open(most int) (ids []string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, t := range f.jobs {
+		if t.accepted && !t.asked && t.told == "" && len(t.zones) > 0 {
+			ids = append(ids, t.spec.ID)
+		}
+	}
+	slices.Sort(ids)
+	return ids[:min(most, len(ids))]
+}
+
+// isDone tells whether a task completed: its result is kept, and if it is started again it is done at once.
+func (f *Referee) isDone(task string) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	n, k, _ := wire.ParseTaskID(task)
+	t := f.jobs[n]
+	return t != nil && t.done[k]
+}
+
 // LateStarts counts the tasks that were started after the cancellation of their job was confirmed, within the time that the protocol leaves.
 func (f *Referee) LateStarts() int {
 	f.mu.Lock()
@@ -364,6 +388,19 @@
 	return 0
 }
 
+// Used is how many CPUs a team's tasks use.
+func (f *Referee) Used(team string) (cpus float64) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for task, where := range f.on {
+		n, _, _ := wire.ParseTaskID(task)
+		if s := f.jobs[n].spec; s.Team == team {
+			cpus += s.CPUs * float64(len(where))
+		}
+	}
+	return cpus
+}
+
 // Tasks counts all tasks that are on machines.
 func (f *Referee) Tasks() int {
 	f.mu.Lock()
--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -206,11 +206,13 @@
 	for _, t := range w.tasks {
 		switch t.state {
 		case wire.TaskFetching:
-			if w.images[t.spec.Image] || now.Sub(t.since) > w.world.fetch {
+			if w.images[t.spec.Image] || now.Sub(t.since) > w.world.fetches() {
 				w.images[t.spec.Image] = true
 				t.on = true
 				w.world.Referee.Start(t.id, w)
-				if t.spec.Shape == wire.Gang {
+				if w.world.Referee.isDone(t.id) || t.spec.Shape == wire.Gang && w.world.finished(t.id) {
+					w.exit(t, wire.CauseDone, false)
+				} else if t.spec.Shape == wire.Gang {
 					w.world.gather(t.id, t.attempt, w.Name)
 					w.set(t, wire.TaskWaiting)
 				} else {
@@ -228,7 +230,11 @@
 				w.exit(t, wire.CauseError, false)
 				continue
 			}
-			if t.spec.Shape == wire.Gang && !w.world.complete(t.id, t.attempt, t.spec.Tasks) && !w.world.finished(t.id, t.attempt) {
+			if t.spec.Shape == wire.Gang && w.world.finished(t.id) {
+				w.exit(t, wire.CauseDone, false)
+				continue
+			}
+			if t.spec.Shape == wire.Gang && !w.world.complete(t.id, t.attempt, t.spec.Tasks) {
 				w.exit(t, wire.CausePeers, false)
 				continue
 			}
--- a/internal/standin/world.go
+++ b/internal/standin/world.go
@@ -43,11 +43,11 @@
 	lateBy                  time.Duration
 	copies                  float64 // chance that a report comes again
 	copiesBy                time.Duration
-	keep                    float64    // chance that a copy of a report is kept for the next leader
-	kept                    []keptCopy // those that are
-	atEnd                   float64    // chance that a job is cancelled at the moment of its end
-	atEnds                  int        // how often that was so
-	gangDone                map[string]bool
+	keep                    float64        // chance that a copy of a report is kept for the next leader
+	kept                    []*wire.Report // those that are
+	atEnd                   float64        // chance that a job is cancelled at the moment of its end
+	atEnds                  int            // how often that was so
+	gangDone                map[uint64]bool
 	mistakes                map[string]bool // jobs that fail on every machine
 	wrong                   float64         // tasks run so many times as long as their owners say; 0: 1
 }
@@ -107,7 +107,7 @@
 	w := &World{
 		State: NewState(seed), Params: p, ctx: ctx, start: start, via: via, at: at,
 		lease: config.Seconds(p.Workers.LeaseS), report: config.Seconds(p.Workers.ReportS), gangWait: config.Seconds(p.Workers.GangWaitS),
-		fetch: 1500 * time.Millisecond, rng: rand.New(rand.NewPCG(seed, 2)), gangs: map[string]map[string]bool{}, gangDone: map[string]bool{}, mistakes: map[string]bool{},
+		fetch: 1500 * time.Millisecond, rng: rand.New(rand.NewPCG(seed, 2)), gangs: map[string]map[string]bool{}, gangDone: map[uint64]bool{}, mistakes: map[string]bool{},
 	}
 	w.Referee = NewReferee(limitsOf(p.Teams), config.Seconds(p.Workers.CancelS))
 	w.Cloud = &Cloud{world: w, most: mostOf, Machines: map[string]*Worker{}, hires: map[string][]string{}, boots: map[string]time.Time{}}
@@ -221,7 +221,7 @@
 	w.mu.Lock()
 	again, late := false, time.Duration(0)
 	if w.keep > 0 && w.rng.Float64() < w.keep {
-		w.kept = append(w.kept, keptCopy{rep})
+		w.kept = append(w.kept[max(0, len(w.kept)-keptMost):], rep)
 	}
 	if w.copies > 0 {
 		again, late = w.rng.Float64() < w.copies, time.Duration(w.rng.Float64()*float64(w.copiesBy))
@@ -247,8 +247,8 @@
 	_ = c.Do(ctx, "POST", to, wire.PathReport, rep, &wire.ReportAnswer{}, wire.MaxBody)
 }
 
-// keptCopy is a copy of a report.
-type keptCopy struct{ rep *wire.Report }
+// keptMost bounds the copies of reports that are kept for the next leader.
+const keptMost = 500
 
 // KeepCopies sets the chance that a copy of a report is kept for the next leader.
 func (w *World) KeepCopies(share float64) {
@@ -257,21 +257,19 @@
 	w.keep = share
 }
 
-// SendKept sends the copies that were kept to every node, all at once, and counts them. Each machine's oldest, one in the middle and its newest are sent.
-func (w *World) SendKept() int {
+// SendKept sends copies that were kept to every node, all at once, and counts them: of each machine the oldest, one in the middle and the newest.
+func (w *World) SendKept() (sent int) {
 	w.mu.Lock()
-	by := map[string][]keptCopy{}
-	for _, c := range w.kept {
-		by[c.rep.Machine] = append(by[c.rep.Machine], c)
+	defer w.mu.Unlock()
+	by := map[string][]*wire.Report{}
+	for _, r := range w.kept {
+		by[r.Machine] = append(by[r.Machine], r)
 	}
-	w.kept = nil
-	w.mu.Unlock()
-	sent := 0
 	for _, list := range by {
 		for _, k := range []int{0, len(list) / 2, len(list) - 1} {
 			for _, nd := range w.nodes {
 				sent++
-				go w.SendCopy(nd.bind, list[k].rep)
+				go w.SendCopy(nd.bind, list[k])
 			}
 		}
 	}
@@ -341,6 +339,20 @@
 	w.mistakes[id] = true
 }
 
+// Fetch sets how long a machine takes to fetch an image, from now on.
+func (w *World) Fetch(d time.Duration) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.fetch = d
+}
+
+// fetches is how long that is.
+func (w *World) fetches() time.Duration {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.fetch
+}
+
 // Misjudge has tasks run so many times as long as their owners say.
 func (w *World) Misjudge(times float64) {
 	w.mu.Lock()
@@ -439,11 +451,11 @@
 func (w *World) leave(task string, attempt uint64, on string, done bool) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	k := gangKey(task, attempt)
 	if done {
-		w.gangDone[k] = true
+		n, _, _ := wire.ParseTaskID(task)
+		w.gangDone[n] = true
 	}
-	delete(w.gangs[k], task)
+	delete(w.gangs[gangKey(task, attempt)], task)
 }
 
 func (w *World) complete(task string, attempt uint64, n int) bool {
@@ -452,10 +464,12 @@
 	return len(w.gangs[gangKey(task, attempt)]) == n
 }
 
-func (w *World) finished(task string, attempt uint64) bool {
+// finished tells whether a gang is done: its tasks complete together, and the result is kept for those whose end was not seen.
+func (w *World) finished(task string) bool {
+	n, _, _ := wire.ParseTaskID(task)
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	return w.gangDone[gangKey(task, attempt)]
+	return w.gangDone[n]
 }
 
 // Call sends a user's request to some node, as the load balancer would, and
