Return only what is gained by in a cut zone, rent it again for the end of the cut; give up what the cloud does not list; hung machines with cancelled tasks

Now a silent machine that holds what was cancelled three quarters of cancel_s ago is returned, unless a node that does not reach the leader says in its record that it has just heard from it and nothing of the kind is left. - Machines of one zone that are taken together looked like a cut and were left alone for 100 s; what must run there waited (left_waiting, TestBoundToAZone). A silent machine that the cloud does not list, though it has been known for longer than the list lags, is given up at once; the evidence is still the answer to its return.

--- a/internal/controller/house.go
+++ b/internal/controller/house.go
@@ -1,14 +1,12 @@
 package controller
 
 import (
-	"context"
 	"math"
 	"sort"
 	"time"
 
 	"fieldhill/internal/config"
 	"fieldhill/internal/model"
-	"fieldhill/internal/oplog"
 	"fieldhill/internal/why"
 )
 
@@ -30,6 +28,9 @@
 	if len(n.keepUntil) > 4000 {
 		clear(n.keepUntil)
 	}
+	if len(n.cleared) > 4000 {
+		clear(n.cleared)
+	}
 	r := n.role
 	if r == nil || !n.active() {
 		return
@@ -134,6 +135,7 @@
 		}
 		if n.fleet.Pending[h.Offer] == 0 {
 			n.hire(r, h)
+			n.fleet.Pending[h.Offer] += h.Count
 		}
 	}
 }
@@ -291,7 +293,7 @@
 	}
 	n.judgeSelf(r, up, mute)
 	n.askRenewals(r)
-	ask := false
+	ask, free := false, map[int32]*model.Room{}
 	look := time.Since(r.lastLate) > lateEvery
 	if look {
 		r.lastLate = time.Now()
@@ -325,7 +327,7 @@
 		cut = cut || now < r.cutUntil[mc.Zone]
 		switch {
 		case mc.Releasing:
-		case n.toReturnOfCut(r, mc):
+		case n.toReturnOfCut(r, mc, was(mc) && quiet(mc), free):
 		case mc.Bad && len(mc.Runs) == 0:
 			n.giveUp(mc, "it is faulty")
 		case was(mc) && quiet(mc):
@@ -418,18 +420,23 @@
 // looks cut off.
 const cutPatience = 100 * time.Second
 
-// toReturnOfCut returns a suspect machine if that is due, and tells whether it did. That its lease is over does not prove its tasks gone: one that
+// toReturnOfCut returns a machine of a cut zone if that is due, and tells whether it did. That its lease is over does not prove its tasks gone: one that
 // hangs ends them only when it wakes, and they count until then (ran_twice, and ran_cancelled). The cloud's answer proves it, hung or
-// not, and the cloud belongs to no zone. Before the lease is over the machine is left alone, since work in a cut zone goes on; afterwards nothing is lost but its
-// images. While the cloud is down nothing is proven, and it is not marked either: the end of the cut may come first.
-func (n *Node) toReturnOfCut(r *role, mc *model.Machine) bool {
-	if !mc.Suspect || len(mc.Runs) == 0 || r.cloudDown {
+// not, and the cloud belongs to no zone. Before the lease is over the machine is left alone, since work in a cut zone goes on; afterwards it is returned if it holds
+// urgent work that may run elsewhere, or low work that finds free room there. Of the other machines nothing would be gained, and they are there when the cut ends: when all of a
+// zone were returned, half of them for low work that then waited elsewhere, a third of the fleet had to boot anew. What a cancelled job has there its worker ends in time by itself, unless it hangs: such a machine is returned before the time is over, also if its zone
+// is only parted from this node, unless the controller there has just heard that nothing of the kind is left. While the cloud is down nothing is proven, and
+// nothing is marked either: the end of the cut may come first.
+func (n *Node) toReturnOfCut(r *role, mc *model.Machine, quiet bool, free map[int32]*model.Room) bool {
+	if len(mc.Runs) == 0 || r.cloudDown {
 		return false
 	}
-	switch now := n.now(); {
-	case n.m.CancelledSince(mc, now) > n.cancelPatience():
+	now := n.now()
+	lapsed := mc.Lapsed(n.set.KeepBound(), n.lease(), n.ownRenewal(mc), now, len(n.set.Members))
+	switch {
+	case (quiet || mc.Suspect) && n.m.CancelledSince(mc, now) > n.cancelPatience() && !r.isClear(mc.ID):
 		n.giveUp(mc, "it is in a zone that is cut off, and holds what was cancelled long ago")
-	case mc.MayRunElsewhere() && mc.Lapsed(n.set.KeepBound(), n.lease(), n.ownRenewal(mc), now, len(n.set.Members)):
+	case lapsed && n.wantedElsewhere(mc, free):
 		n.giveUp(mc, "it is in a zone that is cut off, its lease is over, and its work is wanted elsewhere")
 	default:
 		return false
@@ -437,6 +444,26 @@
 	return true
 }
 
+// wantedElsewhere tells whether what is on a machine is to go on in another zone now. free is what was found to be free outside of each zone, and is not given to others yet.
+func (n *Node) wantedElsewhere(mc *model.Machine, free map[int32]*model.Room) bool {
+	urgent, low := mc.Movable()
+	if urgent || low == (model.Room{}) {
+		return urgent
+	}
+	f := free[mc.Zone]
+	if f == nil {
+		room := n.m.Outside(mc.Zone)
+		room.CPUs -= n.sched.Headroom // that is not for low work
+		f = &room
+		free[mc.Zone] = f
+	}
+	if low.CPUs > f.CPUs || low.GPUs > f.GPUs {
+		return false
+	}
+	f.CPUs, f.GPUs = f.CPUs-low.CPUs, f.GPUs-low.GPUs
+	return true
+}
+
 // cancelPatience is for how long a cancelled job may keep tasks on a machine of a cut zone before the machine is returned: its worker ends them
 // in time by itself, unless it hangs, and the rest of the time that a cancellation has is for the cloud.
 func (n *Node) cancelPatience() model.Time {
@@ -454,87 +481,3 @@
 		}
 	})
 }
-
-// apartEvery is how often a node that does not reach the leader says so.
-const apartEvery = 5 * time.Second
-
-// apart is what the leader has seen of a node that does not reach it.
-type apart struct {
-	version uint64
-	grew    time.Time // when its record was last seen to be new
-}
-
-// goesOn tells whether work in a zone may go on without this node: a controller
-// there is reached, or reads the log and so keeps the zone's workers. Then the
-// zone is not cut off from everything, but only parted from the leader. As long
-// as that is not known, it may be so.
-func (n *Node) goesOn(r *role, zone string) bool {
-	if zone == n.set.Zone || r.lastAsked.IsZero() || time.Since(r.lastAsked) > 2*apartEvery {
-		return true
-	}
-	for _, m := range n.set.Members {
-		if m.Zone != zone {
-			continue
-		}
-		if time.Since(n.links[m.Node].Heard()) < 2*linkFresh {
-			return true
-		}
-		if a := r.apart[m.Node]; a != nil && time.Since(a.grew) < 2*apartEvery {
-			return true
-		}
-	}
-	return false
-}
-
-// askApart reads which nodes don't reach the leader.
-func (n *Node) askApart(r *role) {
-	r.asking = true
-	go func() {
-		list, err := n.oplog.Apart(r.ctx)
-		n.post(func() {
-			r.asking = false
-			if n.role != r || err != nil {
-				return
-			}
-			r.lastAsked = time.Now()
-			for _, a := range list {
-				old := r.apart[a.Node]
-				switch {
-				case old == nil:
-					r.apart[a.Node] = &apart{version: a.Version}
-					// A record seen for the first time may be old: only one that
-					// knows the log to nearly its end counts at once.
-					if a.Seq+apartLag > r.committed {
-						r.apart[a.Node].grew = time.Now()
-					}
-				case old.version != a.Version:
-					old.version, old.grew = a.Version, time.Now()
-				}
-			}
-		})
-	}()
-}
-
-// apartLag is how many batches the record of a node may lag behind the log.
-const apartLag = 100
-
-// sayApart tells the leader, by way of the state service, that this node reads the
-// log but does not reach it.
-func (n *Node) sayApart() {
-	now := time.Now()
-	if n.role != nil || !n.loaded || n.leader == nil || now.Sub(n.apartSaid) < apartEvery || now.Sub(n.caught) > 2*followFor {
-		return
-	}
-	if l := n.links[n.leader.Node]; l == nil || now.Sub(l.Heard()) < linkFresh {
-		return
-	}
-	n.apartSaid = now
-	seq := n.applied
-	go func() {
-		ctx, cancel := context.WithTimeout(n.ctx, apartEvery)
-		defer cancel()
-		if err := n.oplog.PutApart(ctx, oplog.Apart{Node: n.set.Node, Seq: seq}); err != nil {
-			n.log.Debug("can't tell that the leader is not reached", "err", err)
-		}
-	}()
-}
--- a/internal/controller/node.go
+++ b/internal/controller/node.go
@@ -92,6 +92,7 @@
 	loads     int                  // how often the copy was thrown away
 	book      *renewal.Book        // whose lease this process renewed when; it outlives the lead
 	keepUntil map[string]time.Time // workers that don't reach the leader, and until when they are not sent to it
+	cleared   cleared              // machines that came here and hold nothing of a cancelled job
 	apartSaid time.Time            // when this node last told the leader that it does not reach it
 	snapEvery int                  // batches between two snapshots
 	dirty     bool
@@ -202,6 +203,7 @@
 func (n *Node) reset() {
 	n.m = model.New(&n.set.Params)
 	n.applied, n.loaded, n.role = 0, false, nil
+	n.cleared = cleared{} // machines' numbers are the log's, but those that are gone need not be kept
 	n.loads++
 }
 
--- a/internal/controller/rent.go
+++ b/internal/controller/rent.go
@@ -59,7 +59,6 @@
 	r.hires++
 	o := rent.Order{Name: fleet.Name(r.ld.Term, r.hires), Type: n.m.TypeNames.Name(h.Type), Zone: n.m.Zones.Name(h.Zone), Spot: h.Spot, Count: min(h.Count, wire.MaxHire)}
 	n.log.Info("renting", "type", o.Type, "zone", o.Zone, "spot", o.Spot, "count", o.Count, "request", o.Name, "why", h.Why)
-	n.fleet.Pending[h.Offer] += o.Count
 	if !n.spread() {
 		r.orders[o.Name] = o
 		return
@@ -74,18 +73,25 @@
 	case rent.Hired:
 		n.hired(r, o)
 	case rent.Returned:
+		again := map[fleet.Offer]int{}
 		for _, name := range o.Names {
 			if mc := n.m.ByName[name]; mc != nil && mc.Releasing {
-				n.fleet.Has(fleet.Offer{Type: mc.Type, Zone: mc.Zone, Spot: mc.Spot})
+				offer := fleet.Offer{Type: mc.Type, Zone: mc.Zone, Spot: mc.Spot}
+				n.fleet.Has(offer)
+				if mc.Suspect {
+					again[offer]++
+				}
 				n.propose(&model.Entry{Kind: model.EntryGone, Machine: mc.ID})
 				n.dirty = true
 			}
 		}
+		n.rentAgain(r, again)
 	case rent.Listed:
 		r.cloudDown = false
 		for i := range o.Rows {
 			n.listed(&o.Rows[i])
 		}
+		n.unlisted(o.Rows)
 	case rent.Types:
 		for i := range o.Offers {
 			n.learnType(&o.Offers[i])
@@ -95,6 +101,16 @@
 	}
 }
 
+// rentAgain rents machines in place of those that were returned in a cut zone, where the plan rents nothing: so they are up, or nearly, when the cut ends. Until then they count
+// for nothing. Without it a zone that came back stood empty while its machines booted, and for as long as the cloud was down.
+func (n *Node) rentAgain(r *role, offers map[fleet.Offer]int) {
+	for o, k := range offers {
+		for ; k > 0; k -= wire.MaxHire {
+			n.hire(r, fleet.Hire{Offer: o, Count: min(k, wire.MaxHire), Why: "for the end of the cut"})
+		}
+	}
+}
+
 func (n *Node) hired(r *role, out *rent.Outcome) {
 	o := &out.Order
 	_, asked := r.orders[o.Name]
@@ -125,6 +141,28 @@
 	}
 }
 
+// unlisted gives up silent machines that the cloud does not list, though they were rented long enough ago: they were taken, or have died. The list lags, and one may be older than the
+// one before, so absence counts only of machines that this leader has known for longer than that. It is a hint, not evidence: that is the answer to the return.
+// Without it, machines of one zone that are taken together look like a cut, in which they would be left alone, and what must run there waited for a minute and a half.
+func (n *Node) unlisted(rows []wire.ListedMachine) {
+	if n.spread() {
+		return // whoever deals with the cloud passes on only what the log does not know
+	}
+	there := map[string]bool{}
+	for i := range rows {
+		there[rows[i].Name] = true
+	}
+	now, most := n.now(), config.Seconds(2*n.set.Params.Cloud.ListLagS)+listTakes
+	for _, mc := range n.m.Order {
+		if !there[mc.Info.Name] && now-mc.KnownSince > most && mc.Silence(now) > n.probeAfter() {
+			n.giveUp(mc, "the cloud does not list it any more")
+		}
+	}
+}
+
+// listTakes is more than it takes to read the whole list of machines.
+const listTakes = 10 * time.Second
+
 // learnType logs a type that is new or has changed in more than its price.
 func (n *Node) learnType(t *wire.MachineType) {
 	if id, ok := n.m.TypeNames.Find(t.Name); ok && int(id) < len(n.m.Types) && n.m.Types[id].Known {
--- a/internal/controller/workers.go
+++ b/internal/controller/workers.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"net/http"
-	"slices"
 	"time"
 
 	"fieldhill/internal/api"
@@ -231,7 +230,7 @@
 	if len(v.Entries) > 0 {
 		n.touch(mc) // the worker is told to forget what is logged
 	}
-	if first && q != nil && slices.ContainsFunc(mc.Runs, func(r *model.Run) bool { return r.Job.Cancelled }) {
+	if first && q != nil && mc.HoldsCancelled() {
 		n.touch(mc) // its next report may be long in coming, while it looks for this leader
 	}
 	return v
@@ -315,6 +314,11 @@
 			cmds = append(cmds, wire.Command{Verb: wire.Stop, Task: t.Task, Attempt: t.Attempt, GraceS: new(float64)})
 		}
 	}
+	if mc := n.m.ByName[r.Machine]; mc != nil {
+		if delete(n.cleared, mc.ID); len(cmds) == 0 {
+			n.cleared[mc.ID] = time.Now()
+		}
+	}
 	return n.renew(r.Machine, r.Token, cmds)
 }
 
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -390,6 +390,9 @@
 		if !t.Known || mc.Bad || mc.Releasing || mc.Notice != 0 || mc.Suspect || mc.DeafSince != 0 || mc.Overdue {
 			continue
 		}
+		if !mc.Reported && f.apart[mc.Zone] {
+			continue // it boots for the end of the cut
+		}
 		total := sched.Total(m, mc)
 		s := &slot{mc: mc, offer: Offer{mc.Type, mc.Zone, mc.Spot}, total: total, free: total, slow: mc.IsSlow(now)}
 		for _, r := range mc.Runs {
@@ -403,6 +406,9 @@
 		out = append(out, s)
 	}
 	for o, n := range f.Pending {
+		if f.apart[o.Zone] {
+			continue
+		}
 		t := &m.Types[o.Type]
 		total := sched.Whole(t)
 		for range n {
--- a/internal/oplog/oplog.go
+++ b/internal/oplog/oplog.go
@@ -546,11 +546,13 @@
 	Node    string
 	Seq     uint64 // how far it had read the log
 	Version uint64 // of the record: it grows with each
+	Data    []byte // what else it says, at most MaxData bytes
 }
 
 // PutApart tells the leader that this node does not reach it.
 func (l *Log) PutApart(ctx context.Context, a Apart) error {
-	_, err := l.svc.Txn(ctx, &wire.Txn{Then: []wire.Write{{Put: prefixApt + a.Node, Value: &wire.LogValue{Version: version, Node: a.Node, Seq: a.Seq}}}})
+	_, err := l.svc.Txn(ctx, &wire.Txn{Then: []wire.Write{{Put: prefixApt + a.Node, Value: &wire.LogValue{
+		Version: version, Node: a.Node, Seq: a.Seq, Data: base64.StdEncoding.EncodeToString(a.Data)}}}})
 	return err
 }
 
@@ -562,11 +564,11 @@
 	}
 	var out []Apart
 	for _, it := range page.Items {
-		v, _, err := decodeValue(it.Value)
+		v, data, err := decodeValue(it.Value)
 		if err != nil {
 			return nil, err
 		}
-		out = append(out, Apart{v.Node, v.Seq, it.Version})
+		out = append(out, Apart{v.Node, v.Seq, it.Version, data})
 	}
 	return out, nil
 }
