--- a/internal/controller/handover_test.go
+++ b/internal/controller/handover_test.go
@@ -172,6 +172,11 @@
 			}
 			old := max(0, leaderOf())
 			w.Kill(old)
+			for _, wk := range w.Cloud.Up() { // the copies are there before the answers to the next leader's questions
+				if rng.IntN(3) > 0 {
+					wk.Hang(time.Duration(3000+rng.IntN(3000)) * time.Millisecond)
+				}
+			}
 			for began := time.Now(); time.Since(began) < 15*time.Second; {
 				if l := leaderOf(); l >= 0 && l != old {
 					sent += w.SendKept()
