On a last reading: one rule ends a run that is to be stopped, the scheduler's rooms serve a cut zone, one answer for a job that is pending

- A cancellation ended the job's runs by a loop that repeated Stop's rule for placements that have not left the node; both call stopped now.
Stop's look at a command under way is gone, since direct makes it itself.
A cancellation that takes back such a placement now wakes the scheduler as a stop does, instead of leaving the room to the next round.
- The model had got a room of its own and a sum over machines for what is returned of a cut zone: sched.Room, Need and Total do it, in sched.Movable and sched.Outside.
- Whether a lease is over was asked of every machine that holds work, each half second, with a look into the book of renewals; now only of suspect ones, as before.
- 'Pending' was written out four times among the answers to users.
Draws and assertions are as they were.

--- a/internal/controller/house.go
+++ b/internal/controller/house.go
@@ -7,6 +7,7 @@
 
 	"fieldhill/internal/config"
 	"fieldhill/internal/model"
+	"fieldhill/internal/sched"
 	"fieldhill/internal/why"
 )
 
@@ -293,7 +294,7 @@
 	}
 	n.judgeSelf(r, up, mute)
 	n.askRenewals(r)
-	ask, free := false, map[int32]*model.Room{}
+	ask, free := false, map[int32]*sched.Room{}
 	look := time.Since(r.lastLate) > lateEvery
 	if look {
 		r.lastLate = time.Now()
@@ -427,16 +428,14 @@
 // zone were returned, half of them for low work that then waited elsewhere, a third of the fleet had to boot anew. What a cancelled job has there its worker ends in time by itself, unless it hangs: such a machine is returned before the time is over, also if its zone
 // is only parted from this node, unless the controller there has just heard that nothing of the kind is left. While the cloud is down nothing is proven, and
 // nothing is marked either: the end of the cut may come first.
-func (n *Node) toReturnOfCut(r *role, mc *model.Machine, quiet bool, free map[int32]*model.Room) bool {
+func (n *Node) toReturnOfCut(r *role, mc *model.Machine, quiet bool, free map[int32]*sched.Room) bool {
 	if len(mc.Runs) == 0 || r.cloudDown {
 		return false
 	}
-	now := n.now()
-	lapsed := mc.Lapsed(n.set.KeepBound(), n.lease(), n.ownRenewal(mc), now, len(n.set.Members))
-	switch {
+	switch now := n.now(); {
 	case (quiet || mc.Suspect) && n.m.CancelledSince(mc, now) > n.cancelPatience() && !r.isClear(mc.ID):
 		n.giveUp(mc, "it is in a zone that is cut off, and holds what was cancelled long ago")
-	case lapsed && n.wantedElsewhere(mc, free):
+	case mc.Suspect && mc.Lapsed(n.set.KeepBound(), n.lease(), n.ownRenewal(mc), now, len(n.set.Members)) && n.wantedElsewhere(mc, free):
 		n.giveUp(mc, "it is in a zone that is cut off, its lease is over, and its work is wanted elsewhere")
 	default:
 		return false
@@ -445,14 +444,14 @@
 }
 
 // wantedElsewhere tells whether what is on a machine is to go on in another zone now. free is what was found to be free outside of each zone, and is not given to others yet.
-func (n *Node) wantedElsewhere(mc *model.Machine, free map[int32]*model.Room) bool {
-	urgent, low := mc.Movable()
-	if urgent || low == (model.Room{}) {
+func (n *Node) wantedElsewhere(mc *model.Machine, free map[int32]*sched.Room) bool {
+	urgent, low := sched.Movable(mc)
+	if urgent || low.CPUs == 0 && low.GPUs == 0 {
 		return urgent
 	}
 	f := free[mc.Zone]
 	if f == nil {
-		room := n.m.Outside(mc.Zone)
+		room := sched.Outside(n.m, mc.Zone)
 		room.CPUs -= n.sched.Headroom // that is not for low work
 		f = &room
 		free[mc.Zone] = f
@@ -460,7 +459,7 @@
 	if low.CPUs > f.CPUs || low.GPUs > f.GPUs {
 		return false
 	}
-	f.CPUs, f.GPUs = f.CPUs-low.CPUs, f.GPUs-low.GPUs
+	*f = f.Minus(low)
 	return true
 }
 
--- a/internal/controller/meeting_test.go
+++ b/internal/controller/meeting_test.go
@@ -195,9 +195,7 @@
 					t.Errorf("%d of 6 services run after 108 s", up)
 				}
 				w.State.SetOutage(false)
-				for k := range 3 {
-					w.CutNode(k, (k+1)%3, false)
-				}
+				partLinks(w, false)
 				time.Sleep(30 * time.Second)
 				if up := upOf(w, 6); up != 6 {
 					t.Errorf("%d of 6 services run afterwards", up)
--- a/internal/controller/pairs_test.go
+++ b/internal/controller/pairs_test.go
@@ -16,6 +16,22 @@
 	begin func(w *standin.World, rng *rand.Rand) (end func())
 }
 
+// some begins a trouble of those machines that are picked, and returns what ends it.
+func some(w *standin.World, pick func(*standin.Worker) bool, set func(wk *standin.Worker, on bool)) (end func()) {
+	var with []*standin.Worker
+	for _, wk := range w.Cloud.Up() {
+		if pick(wk) {
+			set(wk, true)
+			with = append(with, wk)
+		}
+	}
+	return func() {
+		for _, wk := range with {
+			set(wk, false)
+		}
+	}
+}
+
 // troubles are all that pairs are drawn from.
 var troubles = []trouble{
 	{"state down", func(w *standin.World, _ *rand.Rand) func() {
@@ -60,31 +76,15 @@
 		return func() { onlyReach(w, i, false) }
 	}},
 	{"links refused", func(w *standin.World, _ *rand.Rand) func() {
-		all := func(apart bool) {
-			for k := range 3 {
-				w.CutNode(k, (k+1)%3, apart)
-			}
-		}
-		all(true)
-		return func() { all(false) }
+		partLinks(w, true)
+		return func() { partLinks(w, false) }
 	}},
 	{"leader stands still", func(w *standin.World, rng *rand.Rand) func() {
 		freeze(w, max(0, leaderOf()), time.Duration(rng.IntN(20000))*time.Millisecond)
 		return func() {}
 	}},
 	{"machines hear nothing", func(w *standin.World, rng *rand.Rand) func() {
-		var deaf []*standin.Worker
-		for _, wk := range w.Cloud.Up() {
-			if rng.IntN(2) == 0 {
-				wk.Deafen(true)
-				deaf = append(deaf, wk)
-			}
-		}
-		return func() {
-			for _, wk := range deaf {
-				wk.Deafen(false)
-			}
-		}
+		return some(w, func(*standin.Worker) bool { return rng.IntN(2) == 0 }, (*standin.Worker).Deafen)
 	}},
 	{"commands held up", func(w *standin.World, rng *rand.Rand) func() {
 		d := time.Duration(2+rng.IntN(70)) * time.Second
@@ -142,18 +142,7 @@
 	}},
 	{"machines reach nobody", func(w *standin.World, rng *rand.Rand) func() {
 		zone := rng.IntN(2) == 0
-		var mute []*standin.Worker
-		for _, wk := range w.Cloud.Up() {
-			if zone && wk.Zone == "b" || !zone && rng.IntN(3) == 0 {
-				wk.Silence(true)
-				mute = append(mute, wk)
-			}
-		}
-		return func() {
-			for _, wk := range mute {
-				wk.Silence(false)
-			}
-		}
+		return some(w, func(wk *standin.Worker) bool { return zone && wk.Zone == "b" || !zone && rng.IntN(3) == 0 }, (*standin.Worker).Silence)
 	}},
 	{"many cancelled at once, and machines hang", func(w *standin.World, rng *rand.Rand) func() {
 		lasts := time.Duration(rng.IntN(60)) * time.Second
--- a/internal/controller/users.go
+++ b/internal/controller/users.go
@@ -253,7 +253,7 @@
 		case err != nil:
 			return noLeader
 		case in != nil: // accepted, as it was sent then
-			return api.Encode(http.StatusOK, &wire.JobStatus{ID: wire.JobID(num), State: wire.JobPending})
+			return pending(http.StatusOK, num)
 		}
 	}
 	if reply.Status != http.StatusCreated {
@@ -265,7 +265,12 @@
 		return noLeader
 	}
 	n.log.Debug("job taken without the leader", "job", spec.ID)
-	return api.Encode(http.StatusCreated, &wire.JobStatus{ID: spec.ID, State: wire.JobPending})
+	return pending(http.StatusCreated, num)
+}
+
+// pending is the answer for a job that was accepted and of which nothing else is known.
+func pending(code int, num uint64) *peer.Reply {
+	return api.Encode(code, &wire.JobStatus{ID: wire.JobID(num), State: wire.JobPending})
 }
 
 // mayIntake bounds the jobs taken without the leader. Each costs two changes of the state
@@ -462,7 +467,7 @@
 			send(a)
 		}
 	}
-	accepted := api.Encode(http.StatusCreated, &wire.JobStatus{ID: wire.JobID(uint64(id)), State: wire.JobPending})
+	accepted := pending(http.StatusCreated, uint64(id))
 	n.whenCommitted(seq, func(ok bool) {
 		if !ok {
 			tell(noLeader)
@@ -676,7 +681,7 @@
 			return
 		}
 		if in != nil {
-			send(api.Encode(http.StatusOK, &wire.JobStatus{ID: wire.JobID(uint64(id)), State: wire.JobPending}))
+			send(pending(http.StatusOK, uint64(id)))
 			return
 		}
 		send(api.Refuse(http.StatusNotFound, "no such job"))
@@ -826,20 +831,11 @@
 // stopAll stops what a cancelled job has on machines, before the log has the cancellation: a stop that is sent in vain is decided again or made good
 // by another start, and its user has no use for the job. So next to nothing of it starts after the user is told, which is when the log has it.
 func (n *Node) stopAll(j *model.Job) {
-	var unsent []*model.Run
 	for i := range j.Tasks {
-		switch r := j.Tasks[i].Run; {
-		case r == nil:
-		case r.Unsent(n.role.committed):
-			unsent = append(unsent, r)
-		default:
-			n.touch(r.Machine)
-			n.direct(r.Machine)
+		if r := j.Tasks[i].Run; r != nil {
+			n.stopped(r)
 		}
 	}
-	for _, r := range unsent {
-		n.propose(&model.Entry{Kind: model.EntryEnded, Job: r.Job.ID, Task: r.Task, Attempt: r.Attempt})
-	}
 }
 
 // Ready tells whether the node can take requests.
--- a/internal/controller/workers.go
+++ b/internal/controller/workers.go
@@ -424,6 +424,11 @@
 	n.log.Info("stopping a task", "task", wire.TaskID(uint64(r.Job.ID), int(r.Task)), "machine", r.Machine.Info.Name, "why", why)
 	r.Stop, r.Hard = true, hard
 	n.stats.Stopped.Inc()
+	n.stopped(r)
+}
+
+// stopped has a run end that is to be stopped, or whose job is cancelled: at once if nothing of it has left this node, or else by telling its machine.
+func (n *Node) stopped(r *model.Run) {
 	if r.Unsent(n.role.committed) {
 		// Its placement is on the way into the log and nothing else happened: the
 		// room need not wait for the log and for the machine's word.
@@ -432,9 +437,7 @@
 		return
 	}
 	n.touch(r.Machine)
-	if !r.Machine.Sending {
-		n.direct(r.Machine)
-	}
+	n.direct(r.Machine)
 }
 
 // round runs the scheduler.
--- a/internal/model/observe.go
+++ b/internal/model/observe.go
@@ -64,35 +64,6 @@
 	return renewal.Over(mc.SuspectFrom, bound+lease, now)
 }
 
-// Movable tells of what on a machine may run in another zone once it is gone: whether any of it is urgent, so that room is made for it, and
-// how much the rest needs.
-func (mc *Machine) Movable() (urgent bool, low Room) {
-	for _, r := range mc.Runs {
-		switch {
-		case !r.Wanted() || r.Job.Zone >= 0:
-		case r.Job.Priority > Low:
-			urgent = true
-		default:
-			low.CPUs, low.GPUs = low.CPUs+r.Job.Spec.CPUs, low.GPUs+r.Job.Spec.GPUs
-		}
-	}
-	return urgent, low
-}
-
-// Room is an amount of what tasks need.
-type Room struct{ CPUs, GPUs float64 }
-
-// Outside is the room that machines outside a zone have for new work.
-func (m *Model) Outside(zone int32) (free Room) {
-	for _, mc := range m.Order {
-		if mc.Zone != zone && mc.Usable() {
-			t := m.TypeOf(mc)
-			free.CPUs, free.GPUs = free.CPUs+max(0, t.CPUs-mc.CPUs), free.GPUs+max(0, t.GPUs-mc.GPUs)
-		}
-	}
-	return free
-}
-
 // HoldsCancelled tells whether a machine has a task of a job that is cancelled.
 func (mc *Machine) HoldsCancelled() bool {
 	return slices.ContainsFunc(mc.Runs, func(r *Run) bool { return r.Job.Cancelled })
--- a/internal/sched/room.go
+++ b/internal/sched/room.go
@@ -56,6 +56,31 @@
 
 func used(mc *model.Machine) Room { return Room{mc.CPUs, mc.GPUs, mc.Mem} }
 
+// Movable tells of what on a machine may run in another zone once it is gone: whether any of it is urgent, so that room is made for it, and
+// how much the rest needs.
+func Movable(mc *model.Machine) (urgent bool, low Room) {
+	for _, r := range mc.Runs {
+		switch {
+		case !r.Wanted() || r.Job.Zone >= 0:
+		case r.Job.Priority > model.Low:
+			urgent = true
+		default:
+			low = low.Plus(Need(r.Job))
+		}
+	}
+	return urgent, low
+}
+
+// Outside is the room that machines outside a zone have for new work.
+func Outside(m *model.Model, zone int32) (free Room) {
+	for _, mc := range m.Order {
+		if mc.Zone != zone && mc.Usable() {
+			free = free.Plus(Total(m, mc).Minus(used(mc)))
+		}
+	}
+	return free
+}
+
 // shape is what a job asks of a machine: jobs of the same kind of shape that
 // need more than one which found nothing find nothing either, since room only
 // shrinks in a round. It keeps a round's work from growing with what waits.
