Spread workers' connections over the controllers of a large cell, and take users' requests after all else

Change: a controller that does not lead passes workers' reports on to the leader and its answers back, sends its commands and asks for it (internal/relay, internal/controller/relay.go), once the cell has more machines than the leader takes connections; the leader evens out where workers report. What the leader does not answer in time the relay answers as a node that does not reach the leader, within the same bounds. Frames that wait go out in one write. The loop takes users' requests after reports, commits and cancellations; new jobs are refused with a time to come back while all work queues for too long (internal/admission). How a node stands is published instead of asked of the loop.

--- /dev/null
+++ b/cmd/scale/main.go
@@ -0,0 +1,144 @@
+// Command scale runs real controllers among thousands of hollow workers on loopback and measures what each role costs. It is
+// no deployment: its machines run nothing.
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io/fs"
+	"os"
+	"os/signal"
+	"path/filepath"
+	"syscall"
+
+	"github.com/alecthomas/kong"
+
+	"fieldhill/internal/scale"
+)
+
+type cli struct {
+	Run    runCmd    `cmd:"" help:"Carry out a profile and print what it measured."`
+	Sweep  sweepCmd  `cmd:"" help:"Carry out a profile at several sizes, one thing changed at a time."`
+	Report reportCmd `cmd:"" help:"Print the tables of docs/CAPACITY.md from stored measurements."`
+}
+
+type common struct {
+	Program string `default:"target/fieldhill" type:"path" help:"The controller's program."`
+	Dir     string `type:"path" help:"Where the controllers' settings and logs are written; a new directory by default."`
+	Net     int    `default:"10" help:"Second byte of the loopback addresses of the first region; two runs at a time need different ones."`
+}
+
+func (c *common) options() (scale.Options, error) {
+	if _, err := os.Stat(c.Program); errors.Is(err, fs.ErrNotExist) {
+		return scale.Options{}, fmt.Errorf("program: %s is not built yet, see README.md", c.Program)
+	}
+	if c.Net < 1 || c.Net > 200 {
+		return scale.Options{}, errors.New("net: not from 1 to 200")
+	}
+	dir := c.Dir
+	if dir == "" {
+		var err error
+		if dir, err = os.MkdirTemp("", "fieldhill-scale-"); err != nil {
+			return scale.Options{}, err
+		}
+	}
+	return scale.Options{Program: c.Program, Dir: dir, Net: c.Net, Say: func(s string) { fmt.Println(s) }}, nil
+}
+
+type runCmd struct {
+	common
+	Profile string `arg:"" type:"existingfile" help:"What to run, see deploy/scale."`
+	JSON    string `name:"json" type:"path" help:"Where the report is written as well."`
+}
+
+// Run carries out the command.
+func (c *runCmd) Run(ctx context.Context) error {
+	p, err := scale.LoadProfile(c.Profile)
+	if err != nil {
+		return fmt.Errorf("%s: %w", c.Profile, err)
+	}
+	o, err := c.options()
+	if err != nil {
+		return err
+	}
+	rep, err := scale.Run(ctx, p, o)
+	if err != nil {
+		return err
+	}
+	rep.Print(os.Stdout)
+	if c.JSON != "" {
+		if err := writeJSON(c.JSON, rep); err != nil {
+			return err
+		}
+	}
+	if len(rep.Broken) > 0 {
+		return fmt.Errorf("%d rules were broken", len(rep.Broken))
+	}
+	return nil
+}
+
+func writeJSON(path string, v any) error {
+	b, err := json.MarshalIndent(v, "", " ")
+	if err != nil {
+		return err
+	}
+	if err := os.MkdirAll(filepath.Dir(path), 0o755); err != nil {
+		return err
+	}
+	return os.WriteFile(path, append(b, '\n'), 0o644)
+}
+
+func main() {
+	var c cli
+	k := kong.Parse(&c, kong.Description("Run fieldhill's controllers among hollow workers on loopback, and measure what each role costs."))
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	k.BindTo(ctx, (*context.Context)(nil))
+	k.FatalIfErrorf(k.Run())
+}
+
+type sweepCmd struct {
+	common
+	Sweep string `arg:"" type:"existingfile" help:"What to vary, see deploy/scale/sweep.toml."`
+	Only  string `help:"Only the series that varies this."`
+	Out   string `required:"" type:"path" help:"Where one line of JSON is added for each run."`
+}
+
+// Run carries out the command.
+func (c *sweepCmd) Run(ctx context.Context) error {
+	s, err := scale.LoadSweep(c.Sweep)
+	if err != nil {
+		return fmt.Errorf("%s: %w", c.Sweep, err)
+	}
+	o, err := c.options()
+	if err != nil {
+		return err
+	}
+	o.Say = nil
+	f, err := os.OpenFile(c.Out, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o644)
+	if err != nil {
+		return err
+	}
+	defer f.Close()
+	enc := json.NewEncoder(f)
+	return s.Do(ctx, o, c.Only, func(m scale.Measured, r *scale.Report) error {
+		fmt.Printf("%s: leader %.3f of a core, others %.3f, %.0f starts/s, %d rules broken %s\n", m.Run, r.Regions[0].Leader.CPU, r.Regions[0].Others.CPU, r.Regions[0].StartsS, m.Broken, m.Limiting)
+		return enc.Encode(m)
+	})
+}
+
+type reportCmd struct {
+	Dir string `arg:"" default:"docs/scale" type:"existingdir" help:"Where slopes are stored."`
+}
+
+// Run carries out the command.
+func (c *reportCmd) Run() error {
+	text, err := scale.CapacityTables(c.Dir)
+	if err != nil {
+		return err
+	}
+	fmt.Print(text)
+	return nil
+}
--- a/cmd/trio/main.go
+++ b/cmd/trio/main.go
@@ -11,18 +11,16 @@
 	"io/fs"
 	"net"
 	"os"
-	"os/exec"
 	"os/signal"
-	"path/filepath"
 	"strconv"
 	"syscall"
 	"time"
 
 	"github.com/alecthomas/kong"
-	"github.com/pelletier/go-toml/v2"
 
 	"fieldhill/internal/config"
 	"fieldhill/internal/host"
+	"fieldhill/internal/process"
 	"fieldhill/internal/standin"
 )
 
@@ -78,8 +76,10 @@
 	}
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
+	keeper := &process.Keeper{Program: c.Program, Dir: c.Dir, StartAgain: startAgain, Say: func(s string) { fmt.Println(s) }}
 	start := func(ctx context.Context, _ host.Net, s *config.Settings) error {
-		if err := c.keep(ctx, s, metrics[s.Node], operate[s.Node]); err != nil {
+		fmt.Printf("counters of %s: http://%s/metrics; its operators: %s\n", s.Node, metrics[s.Node], operate[s.Node])
+		if err := keeper.Keep(ctx, s, "--metrics", metrics[s.Node], "--operate", operate[s.Node]); err != nil {
 			cancel(err)
 		}
 		return nil
@@ -119,40 +119,3 @@
 		}
 	}
 }
-
-// keep runs a controller as a process, and again whenever it ends.
-func (c *cli) keep(ctx context.Context, s *config.Settings, metrics, operate string) error {
-	b, err := toml.Marshal(s)
-	if err != nil {
-		return err
-	}
-	path := filepath.Join(c.Dir, s.Node+".toml")
-	if err := os.WriteFile(path, b, 0o644); err != nil {
-		return err
-	}
-	log, err := os.OpenFile(filepath.Join(c.Dir, s.Node+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o644)
-	if err != nil {
-		return err
-	}
-	defer log.Close()
-	for {
-		cmd := exec.CommandContext(ctx, c.Program, "--config", path, "--metrics", metrics, "--operate", operate)
-		cmd.Stderr = log
-		// Ctrl-C is for this program, which ends the controllers itself.
-		cmd.SysProcAttr = &syscall.SysProcAttr{Setpgid: true}
-		if err := cmd.Start(); err != nil {
-			return err
-		}
-		fmt.Printf("controller %s in zone %s runs as process %d at %s, its counters at http://%s/metrics, operators at %s\n", s.Node, s.Zone, cmd.Process.Pid, s.Bind, metrics, operate)
-		err := cmd.Wait()
-		if ctx.Err() != nil {
-			return nil
-		}
-		fmt.Printf("controller %s has ended (%v), it starts again in %v\n", s.Node, err, startAgain)
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-time.After(startAgain):
-		}
-	}
-}
--- a/internal/api/api.go
+++ b/internal/api/api.go
@@ -59,10 +59,10 @@
 	open atomic.Int64
 }
 
-// dense tells whether so many connections are open that workers are to give theirs back: they
+// Dense tells whether so many connections are open that workers are to give theirs back: they
 // come every few seconds, while users and health checks need to get in at any time. A leader of
 // more workers than connections used to accept nobody for as long as they held on to theirs.
-func (c *Crowd) dense() bool { return c.open.Load()*4 > int64(c.Most)*3 }
+func (c *Crowd) Dense() bool { return c.open.Load()*8 > int64(c.Most)*7 }
 
 // note is for http.Server.ConnState.
 func (c *Crowd) note(_ net.Conn, s http.ConnState) {
@@ -107,7 +107,7 @@
 		}
 	})
 	handle("report", "POST "+wire.PathReport, func(w http.ResponseWriter, r *http.Request) *peer.Reply {
-		if crowd.dense() {
+		if crowd.Dense() {
 			w.Header().Set("Connection", "close")
 		}
 		body, err := readBody(w, r)
--- a/internal/controller/house.go
+++ b/internal/controller/house.go
@@ -16,6 +16,9 @@
 func (n *Node) housekeep() {
 	now := time.Now()
 	gap := now.Sub(n.start) - model.Time(n.beat.Swap(int64(now.Sub(n.start))))
+	if len(n.requests) == 0 {
+		n.gate.Waited(max(0, gap-houseEvery), n.now())
+	}
 	if late := gap - houseEvery; late > lateMost {
 		n.listensAgain(late)
 	}
@@ -26,6 +29,7 @@
 	n.sayApart()
 	n.askPast()
 	n.tendDuties()
+	n.tendRelay()
 	if len(n.keepUntil) > 4000 {
 		clear(n.keepUntil)
 	}
@@ -44,6 +48,7 @@
 		n.runFleet(r)
 	}
 	n.m.Watch(gap)
+	n.tendSeats(r)
 	n.sayTakeover(r)
 	n.atDesk(now)
 }
--- a/internal/controller/node.go
+++ b/internal/controller/node.go
@@ -21,6 +21,7 @@
 
 	"golang.org/x/time/rate"
 
+	"fieldhill/internal/admission"
 	"fieldhill/internal/api"
 	"fieldhill/internal/cloud"
 	"fieldhill/internal/codec"
@@ -32,6 +33,7 @@
 	"fieldhill/internal/operate"
 	"fieldhill/internal/oplog"
 	"fieldhill/internal/peer"
+	"fieldhill/internal/relay"
 	"fieldhill/internal/renewal"
 	"fieldhill/internal/rent"
 	"fieldhill/internal/sched"
@@ -59,25 +61,33 @@
 
 // Node is a controller.
 type Node struct {
-	via    host.Net
-	set    *config.Settings
-	opt    Options
-	log    *slog.Logger
-	start  time.Time
-	state  *statesvc.Client
-	oplog  *oplog.Log
-	cloud  *cloud.Client
-	worker *worker.Client
-	links  map[string]*peer.Link
-	stand  *stand
-	intake *rate.Limiter // of jobs taken without the leader
-	stats  *stats.Stats
-	work   chan func()
-	ended  chan struct{} // closed when the loop runs no more
-	ctx    context.Context
+	via     host.Net
+	set     *config.Settings
+	opt     Options
+	log     *slog.Logger
+	start   time.Time
+	state   *statesvc.Client
+	oplog   *oplog.Log
+	cloud   *cloud.Client
+	worker  *worker.Client
+	links   map[string]*peer.Link
+	stand   *stand
+	traffic peer.Traffic
+	crowd   *api.Crowd
+	// relaying is this node's part in ending workers' connections for the leader.
+	relaying *relaying
+	intake   *rate.Limiter // of jobs taken without the leader
+	stats    *stats.Stats
+	work     chan func()
+	// requests is what users want of the loop; it waits for all that is in work.
+	requests chan request
+	stands   atomic.Pointer[standing]
+	ended    chan struct{} // closed when the loop runs no more
+	ctx      context.Context
 
 	// Owned by the loop.
 	m         *model.Model
+	gate      admission.Gate // for new jobs
 	loaded    bool
 	applied   uint64 // last batch applied (follower) or committed (leader)
 	sched     *sched.Sched
@@ -95,9 +105,11 @@
 	cleared   cleared              // machines that came here and hold nothing of a cancelled job
 	apartSaid time.Time            // when this node last told the leader that it does not reach it
 	snapEvery int                  // batches between two snapshots
-	dirty     bool
-	lastRound time.Time
-	gap       time.Duration // between rounds that events wake
+	// spreadOver is with more than how many machines workers are spread over the nodes; tests change it.
+	spreadOver int
+	dirty      bool
+	lastRound  time.Time
+	gap        time.Duration // between rounds that events wake
 
 	duties *duties // nil: the leader does all of it
 
@@ -161,6 +173,10 @@
 	strangers     map[string]bool         // machines that nobody knows, and that are being asked
 	asks          int                     // machines that are being asked because of what they said
 	reports       int                     // how often any machine was heard of in this term
+	seats         *relay.Table            // through which node each machine reports
+	open          []bool                  // nodes that take more workers, by their index in the table
+	offered       []model.Time            // when they last offered to be relays; 0: never
+	sweptAt       model.Time              // when the table was last swept
 }
 
 type snapshot struct {
@@ -181,22 +197,29 @@
 		via: via, set: set, opt: opt, log: logger, start: time.Now(),
 		state:  statesvc.New(via, set.Endpoints.State, max(4, p.State.RPS/members*0.95)),
 		cloud:  cloud.New(via, set.Endpoints.Cloud, p.Cloud.RPS*0.8),
-		worker: worker.New(via, 3*time.Second, max(32, p.Limits.MaxSockets/3)),
+		worker: worker.New(via, ordersWithin, max(32, p.Limits.MaxSockets/3)),
 		stats:  stats.New(api.Kinds...),
-		links:  map[string]*peer.Link{}, work: make(chan func(), 512), ended: make(chan struct{}), keepUntil: map[string]time.Time{},
+		links:  map[string]*peer.Link{}, work: make(chan func(), 512), requests: make(chan request, requestsAtOnce), ended: make(chan struct{}), keepUntil: map[string]time.Time{},
 	}
 	n.intake = rate.NewLimiter(rate.Limit(p.State.WriteRPS*0.2/members), max(1, int(p.State.WriteRPS*0.4/members)))
 	n.oplog = oplog.New(n.state, p.State.WriteRPS, p.State.ValueKB, p.State.TxnOps, logger)
 	for _, m := range set.Members {
 		n.links[m.Node] = peer.NewLink(via, m.Node, m.Addr, logger)
+		n.links[m.Node].Traffic = &n.traffic
 	}
 	n.stand = newStand(set, n.links, n.now)
+	n.relaying = newRelaying()
+	// Sockets: six parts in ten for who comes, a third for commands to workers, the rest for the
+	// state service, the cloud, the other controllers and what is just closing.
+	n.crowd = &api.Crowd{Most: max(32, p.Limits.MaxSockets*6/10)}
 	n.book = renewal.NewBook(n.now())
 	n.gap, n.snapEvery = minGap, snapEvery
+	n.spreadOver = n.crowd.Most * 3 / 4
 	if opt.Duties {
 		n.duties = newDuties(set.Node)
 	}
 	n.reset()
+	n.publish()
 	return n
 }
 
@@ -245,7 +268,7 @@
 	}
 	run("loop", func() error { defer close(n.ended); n.loop(ctx); return nil })
 	run("storage", func() error { n.storage(ctx); return nil })
-	run("peers", func() error { return peer.Serve(ctx, pln, n.answerPeer, n.log) })
+	run("peers", func() error { return peer.Serve(ctx, pln, n.answerPeer, &n.traffic, n.log) })
 	if n.duties != nil {
 		run("duties", func() error { n.watchDuties(ctx); return nil })
 	} else {
@@ -254,10 +277,9 @@
 	for _, l := range n.links {
 		run("link", func() error { l.Run(ctx); return nil })
 	}
-	// Sockets: six parts in ten for who comes, a third for commands to workers, the rest for the
-	// state service, the cloud, the other controllers and what is just closing.
-	crowd := &api.Crowd{Most: max(32, n.set.Params.Limits.MaxSockets*6/10)}
-	run("api", func() error { return api.Serve(ctx, ln, crowd, api.Handler(n, n.log, crowd, n.stats.Answered), n.log) })
+	run("api", func() error {
+		return api.Serve(ctx, ln, n.crowd, api.Handler(n, n.log, n.crowd, n.stats.Answered), n.log)
+	})
 	if mln != nil {
 		run("metrics", func() error { return api.Serve(ctx, mln, &api.Crowd{Most: metricsConns}, n.stats.Page(n.look), n.log) })
 	}
@@ -300,6 +322,10 @@
 		v.Term = n.leader.Term
 	}
 	v.Rentals = len(n.m.Intents)
+	v.PeerFrames, v.PeerBytes, v.PeerWrites = n.traffic.Frames.Load(), n.traffic.Bytes.Load(), n.traffic.Writes.Load()
+	if n.role != nil {
+		v.Seats = n.role.seats.Counts()[relay.Leader]
+	}
 	if d := n.duties; d != nil {
 		v.Rents, v.Cleans = d.keepers[duty.Rent].Trusted(n.now()), d.keepers[duty.Clean].Trusted(n.now())
 	}
@@ -385,16 +411,10 @@
 			return
 		case f := <-n.work:
 			f()
-			// Whatever else is waiting goes into the same batch.
-			for k := 0; k < 64; k++ {
-				select {
-				case f := <-n.work:
-					f()
-					continue
-				default:
-				}
-				break
-			}
+			n.takeWork() // whatever else is waiting goes into the same batch
+		case r := <-n.requests:
+			n.takeWork()
+			n.takeRequests(r)
 		case <-round.C:
 			n.round(true)
 		case <-house.C:
@@ -409,6 +429,7 @@
 			wake.Reset(max(0, n.gap-time.Since(n.lastRound)))
 		}
 		n.flush()
+		n.publish()
 		if r := n.role; r != nil && !r.writing && len(r.queue) > 0 {
 			gathered.Reset(max(0, gather-time.Since(r.queuedAt)))
 		}
@@ -510,6 +531,7 @@
 	b := oplog.Batch{Seq: r.committed + 1, Term: r.ld.Term, Data: r.queue[0]}
 	r.queue = r.queue[1:]
 	r.writing, r.wroteAt = true, time.Now()
+	n.stats.LogBytes.Add(len(b.Data))
 	r.queuedAt = r.wroteAt
 	r.urgent = r.urgent && len(r.queue) > 0 // more of it may be there
 	r.batches <- b
--- a/internal/controller/takeover.go
+++ b/internal/controller/takeover.go
@@ -11,6 +11,7 @@
 	"fieldhill/internal/lead"
 	"fieldhill/internal/model"
 	"fieldhill/internal/oplog"
+	"fieldhill/internal/relay"
 	"fieldhill/internal/rent"
 	"fieldhill/internal/sched"
 	"fieldhill/internal/standby"
@@ -274,6 +275,9 @@
 	r.line.Mark(standby.Leads, n.now())
 	n.dirty = true
 	r.heard, r.lowMost = n.now(), lowMany
+	cell := len(n.set.Members) + 1
+	r.seats, r.open, r.offered = relay.NewTable(cell), make([]bool, cell), make([]model.Time, cell)
+	n.tendSeats(r)
 	n.askAll()
 	n.stats.Terms.Inc()
 	n.log.Info("leading", "term", r.ld.Term, "seq", n.applied, "jobs", len(n.m.Jobs), "machines", len(n.m.Order))
--- a/internal/controller/users.go
+++ b/internal/controller/users.go
@@ -30,34 +30,17 @@
 
 // inLoop runs f in the loop; f must send exactly one reply, at once or later.
 func (n *Node) inLoop(ctx context.Context, f func(send func(*peer.Reply))) *peer.Reply {
-	ch := make(chan *peer.Reply, 1)
-	if n.offer(func() { f(func(r *peer.Reply) { ch <- r }) }) != nil {
-		return api.Later("busy", 2)
-	}
-	t := time.NewTimer(answerWithin)
-	defer t.Stop()
-	select {
-	case r := <-ch:
-		return r
-	case <-t.C:
-		return api.Later("the state service is slow", 1)
-	case <-ctx.Done():
-		return api.Later("given up", 1)
-	case <-n.ctx.Done():
-		return api.Later("stopping", 1)
-	}
+	return n.replied(ctx, n.offer, f)
 }
 
+// overloaded refuses a new job while this controller is late.
+var overloaded = api.Refuse(http.StatusTooManyRequests, "more work is offered than can be taken")
+
 var noLeader = api.Later("no leader at the moment", 1)
 
 // passOn sends a request to the leader. ok is false if the leader can't be asked.
 func (n *Node) passOn(ctx context.Context, c *peer.Call, within time.Duration) (reply *peer.Reply, ok bool) {
-	var to string
-	n.ask(func() {
-		if n.leader != nil {
-			to = n.leader.Node
-		}
-	})
+	to := n.stands.Load().leader
 	l := n.links[to]
 	if l == nil || time.Since(l.Heard()) > linkFresh {
 		return nil, false
@@ -105,16 +88,6 @@
 	return nil, false
 }
 
-// standing tells whether this node leads or believes so, and whether it is in
-// touch with the state service.
-func (n *Node) standing() (leads, inTouch bool) {
-	n.ask(func() {
-		leads = n.role != nil
-		inTouch = n.active() || n.role == nil && n.reaches()
-	})
-	return leads, inTouch
-}
-
 // answerPeer answers another controller.
 func (n *Node) answerPeer(ctx context.Context, c *peer.Call) *peer.Reply {
 	switch c.Op {
@@ -147,6 +120,14 @@
 		return n.tellRenewals(ctx, c)
 	case peer.OpVouch:
 		return n.tellPast(ctx)
+	case peer.OpOffer:
+		return n.takeOffer(ctx, c)
+	case peer.OpReport:
+		return n.takeRelayed(ctx, c)
+	case peer.OpOrders:
+		return n.passOrders(ctx, c)
+	case peer.OpShow:
+		return n.passQuestion(ctx, c)
 	}
 	return api.Refuse(http.StatusNotImplemented, "unknown operation")
 }
@@ -232,7 +213,7 @@
 	}
 	spec, specErr := wire.ParseJob(body)
 	var entry *model.Entry
-	reply := n.inLoop(ctx, func(send func(*peer.Reply)) {
+	reply := n.inTurn(ctx, func(send func(*peer.Reply)) {
 		if n.role != nil || !n.loaded {
 			send(noLeader)
 			return
@@ -421,13 +402,13 @@
 	}
 	spec, specErr := wire.ParseJob(body)
 	submit := func(send func(*peer.Reply)) { n.submit(model.JobID(num), spec, specErr, send) }
-	r := n.inLoop(ctx, submit)
+	r := n.inTurn(ctx, submit)
 	if isRefusal(r) {
 		// Another node may have taken it, as it was sent then, and this one not know yet.
 		if !n.lookIn(ctx, num) {
 			return noLeader
 		}
-		return n.inLoop(ctx, submit)
+		return n.inTurn(ctx, submit)
 	}
 	return r
 }
@@ -456,6 +437,11 @@
 		send(r)
 		return
 	}
+	if wait, ok := n.gate.Admit(n.now()); !ok {
+		n.stats.NotAdmitted.Inc()
+		send(&peer.Reply{Status: http.StatusTooManyRequests, RetryAfter: int(wait / time.Second), Body: overloaded.Body})
+		return
+	}
 	e := model.Accepted(spec, time.Now().UnixMilli())
 	seq := n.propose(e)
 	n.dirty = true
@@ -639,7 +625,7 @@
 	if !n.lookIn(ctx, num) {
 		return noLeader
 	}
-	return n.inLoop(ctx, func(send func(*peer.Reply)) {
+	return n.inTurn(ctx, func(send func(*peer.Reply)) {
 		id := model.JobID(num)
 		if n.role != nil && n.m.Finals[id] != 0 && n.m.FinalAt(id) <= n.role.committed {
 			send(api.Encode(http.StatusOK, n.status(id)))
@@ -671,7 +657,7 @@
 		n.log.Debug("can't catch up", "err", err)
 		return noLeader
 	}
-	return n.inLoop(ctx, func(send func(*peer.Reply)) {
+	return n.inTurn(ctx, func(send func(*peer.Reply)) {
 		if n.role != nil || !n.loaded {
 			send(noLeader)
 			return
--- a/internal/controller/workers.go
+++ b/internal/controller/workers.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
 	"time"
 
@@ -11,6 +12,7 @@
 	"fieldhill/internal/hearing"
 	"fieldhill/internal/model"
 	"fieldhill/internal/peer"
+	"fieldhill/internal/relay"
 	"fieldhill/internal/standby"
 	"fieldhill/internal/worker"
 	"fieldhill/wire"
@@ -18,16 +20,20 @@
 
 // Report takes a worker's report.
 func (n *Node) Report(ctx context.Context, r *wire.Report) *peer.Reply {
+	if a := n.passReport(ctx, r); a != nil {
+		return a
+	}
 	return n.inLoop(ctx, func(send func(*peer.Reply)) {
 		if n.role != nil {
-			n.reportToLeader(r, send)
+			n.reportToLeader(r, relay.Leader, send)
 			return
 		}
 		send(n.reportToOther(r))
 	})
 }
 
-func (n *Node) reportToLeader(r *wire.Report, send func(*peer.Reply)) {
+// reportToLeader takes a report that came to this node, or through another one, by its index in the table of seats.
+func (n *Node) reportToLeader(r *wire.Report, node int, send func(*peer.Reply)) {
 	mc := n.m.ByName[r.Machine]
 	switch {
 	case r.Token >= n.m.TermBase+1<<termBits:
@@ -59,6 +65,11 @@
 		n.heardOfSuspect(mc, r, send)
 		return
 	}
+	if to, move := n.moved(mc, node); move {
+		n.stats.Moved.Inc()
+		send(api.Encode(http.StatusMisdirectedRequest, &wire.Redirect{Node: to}))
+		return
+	}
 	first := !mc.Reported
 	v := n.observe(mc, r, nil)
 	if v.Stale() {
@@ -138,7 +149,11 @@
 	}()
 }
 
+var errNotSent = errors.New("controller: a relay did not send a command")
+
 const (
+	// ordersWithin is how long a worker has to answer a direct command.
+	ordersWithin = 3 * time.Second
 	// asksAtOnce is how many machines are asked at the same time because of what they said, and as many because nobody knows them.
 	asksAtOnce = 32
 	// askFor is how long such a machine has to answer.
@@ -155,9 +170,9 @@
 	}
 	r.asks++
 	mc.AskedAt = n.now()
-	addr, q := mc.Info.Addr, n.m.Ask(mc)
+	addr, ways, q := mc.Info.Addr, n.waysTo(mc), n.m.Ask(mc)
 	go func() {
-		rep, err := n.worker.Show(r.ctx, addr, askFor)
+		rep, err := n.show(r.ctx, ways, addr)
 		n.post(func() {
 			r.asks--
 			if n.role == r && err == nil {
@@ -354,9 +369,9 @@
 	mc.Sending = true
 	r.line.Mark(standby.Sent, n.now())
 	o := &wire.Orders{Token: token, Session: mc.Session, Commands: cmds}
-	addr := mc.Info.Addr
+	addr, via := mc.Info.Addr, n.relayFor(mc)
 	go func() {
-		fate, rep, err := n.worker.Orders(r.ctx, addr, o)
+		fate, rep, err := n.sendOrders(r.ctx, via, addr, o)
 		n.post(func() {
 			if n.role != r {
 				return
@@ -486,7 +501,7 @@
 		return
 	}
 	mc.Probing = true
-	addr, zone := mc.Info.Addr, r.asked(mc.Zone)
+	addr, ways, zone := mc.Info.Addr, n.waysTo(mc), r.asked(mc.Zone)
 	q := n.m.Ask(mc)
 	go func() {
 		select {
@@ -499,7 +514,7 @@
 			n.post(func() { mc.Probing = false })
 			return
 		}
-		rep, err := n.worker.Show(r.ctx, addr, askFor)
+		rep, err := n.show(r.ctx, ways, addr)
 		n.post(func() {
 			mc.Probing = false
 			if n.role == r && err != nil && !mc.Reported {
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -16,6 +16,7 @@
 	"log/slog"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"fieldhill/internal/codec"
@@ -29,7 +30,10 @@
 	header   = 10
 	// maxPayload fits the largest request of a user with room for its envelope.
 	maxPayload = 80 << 10
-	maxPending = 512
+	maxPending = 1024
+	// mostAtOnce is about how many bytes one write carries at most, and bufferSize how many one read takes.
+	mostAtOnce = 32 << 10
+	bufferSize = 16 << 10
 )
 
 // Op tells what a call asks for.
@@ -46,6 +50,10 @@
 	OpDuty    // what came of a duty, under its term
 	OpRenewed // when the leases of a zone's machines were last renewed, by a node that has applied a batch
 	OpVouch   // how old a process is, and what it has ever seen of the log
+	OpOffer   // to pass on workers' reports
+	OpReport  // a worker's report that is passed on; ID is the node that does it
+	OpOrders  // a direct command to the worker at the address ID
+	OpShow    // a question to the worker at the address ID
 )
 
 // Call is a request to another controller.
@@ -65,6 +73,9 @@
 // errDown says that the other controller can't be reached now.
 var errDown = errors.New("peer: not connected")
 
+// IsDown tells whether a call's error means that the call surely was not sent.
+func IsDown(err error) bool { return errors.Is(err, errDown) }
+
 func appendCall(b []byte, c *Call) []byte {
 	b = append(b, byte(c.Op))
 	b = codec.String(b, c.ID)
@@ -122,11 +133,14 @@
 	return h[5], binary.BigEndian.Uint64(h[6:]), payload, err
 }
 
+// Traffic counts what is written to other controllers.
+type Traffic struct{ Frames, Bytes, Writes atomic.Int64 }
+
 // Handler answers calls.
 type Handler func(context.Context, *Call) *Reply
 
 // Serve answers other controllers until the context ends.
-func Serve(ctx context.Context, ln net.Listener, h Handler, logger *slog.Logger) error {
+func Serve(ctx context.Context, ln net.Listener, h Handler, traffic *Traffic, logger *slog.Logger) error {
 	stop := context.AfterFunc(ctx, func() { ln.Close() })
 	defer stop()
 	var wg sync.WaitGroup
@@ -146,7 +160,7 @@
 			continue
 		}
 		wg.Go(func() {
-			if err := serveConn(ctx, c, h); err != nil && !errors.Is(err, io.EOF) && ctx.Err() == nil {
+			if err := serveConn(ctx, c, h, traffic); err != nil && !errors.Is(err, io.EOF) && ctx.Err() == nil {
 				logger.Debug("peer connection ended", "from", c.RemoteAddr(), "err", err)
 			}
 		})
@@ -156,7 +170,7 @@
 // idle ends a connection over which nothing came for long: pings come often.
 const idle = 30 * time.Second
 
-func serveConn(ctx context.Context, c net.Conn, h Handler) error {
+func serveConn(ctx context.Context, c net.Conn, h Handler, traffic *Traffic) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	stop := context.AfterFunc(ctx, func() { c.Close() })
@@ -165,10 +179,10 @@
 	out := make(chan []byte, maxPending)
 	go func() {
 		defer cancel()
-		writeAll(ctx, c, out)
+		writeAll(ctx, c, out, traffic)
 	}()
 	slots := make(chan struct{}, maxPending)
-	r := bufio.NewReaderSize(c, 4<<10)
+	r := bufio.NewReaderSize(c, bufferSize)
 	for {
 		_ = c.SetReadDeadline(time.Now().Add(idle))
 		kind, id, p, err := readFrame(r)
@@ -200,18 +214,37 @@
 // writeAll writes frames until the context ends or the other side stops taking
 // them. Nobody else writes to the connection, so that nobody waits with a lock
 // in hand for a peer that has stopped reading.
-func writeAll(ctx context.Context, c net.Conn, out <-chan []byte) {
+func writeAll(ctx context.Context, c net.Conn, out <-chan []byte, traffic *Traffic) {
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case b := <-out:
 			_ = c.SetWriteDeadline(time.Now().Add(5 * time.Second))
+			b, frames := withQueued(b, out)
 			if _, err := c.Write(b); err != nil {
 				return
 			}
+			traffic.Frames.Add(frames)
+			traffic.Bytes.Add(int64(len(b)))
+			traffic.Writes.Add(1)
+		}
+	}
+}
+
+// withQueued appends the frames that wait already, so that a busy link carries several in one write.
+func withQueued(b []byte, out <-chan []byte) (all []byte, frames int64) {
+	frames = 1
+	for len(b) < mostAtOnce {
+		select {
+		case more := <-out:
+			b = append(b, more...)
+			frames++
+		default:
+			return b, frames
 		}
 	}
+	return b, frames
 }
 
 // Link is the connection to one other controller. Run keeps it up.
@@ -219,11 +252,13 @@
 	Node, Addr string
 	// Ask is what each ping says, nil: nothing; Hears, if there is one, is told what was answered, and Down that
 	// nothing more comes over this connection. They are set before Run.
-	Ask    func() []byte
-	Hears  func(said []byte)
-	Down   func()
-	via    host.Net
-	logger *slog.Logger
+	Ask   func() []byte
+	Hears func(said []byte)
+	Down  func()
+	// Traffic counts what is written.
+	Traffic *Traffic
+	via     host.Net
+	logger  *slog.Logger
 
 	mu      sync.Mutex
 	out     chan []byte // nil: not connected
@@ -234,7 +269,7 @@
 
 // NewLink makes a link that is down.
 func NewLink(via host.Net, node, addr string, logger *slog.Logger) *Link {
-	return &Link{Node: node, Addr: addr, via: via, logger: logger, pending: map[uint64]chan *Reply{}}
+	return &Link{Node: node, Addr: addr, via: via, logger: logger, pending: map[uint64]chan *Reply{}, Traffic: &Traffic{}}
 }
 
 // Heard tells when the other side last answered anything.
@@ -277,14 +312,14 @@
 	defer cancel()
 	stop := context.AfterFunc(ctx, func() { c.Close() })
 	defer stop()
-	out := make(chan []byte, 64)
+	out := make(chan []byte, maxPending)
 	l.mu.Lock()
 	l.out = out
 	l.mu.Unlock()
 	defer l.drop(c)
 	go func() {
 		defer cancel()
-		writeAll(ctx, c, out)
+		writeAll(ctx, c, out, l.Traffic)
 	}()
 	go func() {
 		defer cancel()
@@ -317,7 +352,7 @@
 			}
 		}
 	}()
-	r := bufio.NewReaderSize(c, 4<<10)
+	r := bufio.NewReaderSize(c, bufferSize)
 	for {
 		kind, id, p, err := readFrame(r)
 		if err != nil {
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -64,7 +64,7 @@
 		go func() {
 			_ = serveConn(ctx, <-p, func(_ context.Context, c *Call) *Reply {
 				return &Reply{Status: http.StatusTeapot, RetryAfter: 7, Body: append([]byte(c.ID), c.Body...)}
-			})
+			}, &Traffic{})
 		}()
 		time.Sleep(10 * time.Millisecond)
 		got, err := l.Call(ctx, &Call{Op: OpSubmit, ID: "x", Body: []byte("yz")})
--- /dev/null
+++ b/internal/scale/network.go
@@ -0,0 +1,194 @@
+package scale
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"fieldhill/internal/host"
+	"fieldhill/internal/standin"
+)
+
+const (
+	workerPort  = 9000
+	statePort   = 7000
+	cloudPort   = 7001
+	usersPort   = 8080
+	peersPort   = 8081
+	metricsPort = 8082
+	// firstNet is the second byte of the first region's loopback addresses, unless a run is told another one.
+	firstNet = 10
+	// perNet is how many workers share the third byte of an address.
+	perNet = 250
+)
+
+// places are the addresses of a region, all in 127.net.0.0/16.
+func places(netByte int) standin.Places {
+	return standin.Places{
+		State: fmt.Sprintf("127.%d.255.1:%d", netByte, statePort),
+		Cloud: fmt.Sprintf("127.%d.255.1:%d", netByte, cloudPort),
+		Users: func(i int) string { return fmt.Sprintf("127.%d.254.%d:%d", netByte, i+1, usersPort) },
+		Peers: func(i int) string { return fmt.Sprintf("127.%d.254.%d:%d", netByte, i+1, peersPort) },
+		Worker: func(i int) string {
+			return fmt.Sprintf("127.%d.%d.%d:%d", netByte, i/perNet, i%perNet+1, workerPort+netByte)
+		},
+	}
+}
+
+func metricsOf(netByte, node int) string {
+	return fmt.Sprintf("127.%d.254.%d:%d", netByte, node+1, metricsPort)
+}
+
+// traffic counts the bytes of one kind of connection, headers included, and the connections that are open.
+type traffic struct{ in, out, open atomic.Int64 }
+
+type countedConn struct {
+	net.Conn
+	t    *traffic
+	once sync.Once
+}
+
+func count(c net.Conn, t *traffic) net.Conn {
+	t.open.Add(1)
+	return &countedConn{Conn: c, t: t}
+}
+
+func (c *countedConn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	c.t.in.Add(int64(n))
+	return n, err
+}
+
+func (c *countedConn) Write(b []byte) (int, error) {
+	n, err := c.Conn.Write(b)
+	c.t.out.Add(int64(n))
+	return n, err
+}
+
+func (c *countedConn) Close() error {
+	c.once.Do(func() { c.t.open.Add(-1) })
+	return c.Conn.Close()
+}
+
+// network is a region's part of the loopback network as the stand-ins see it. Workers listen at addresses of their own behind
+// one socket, because thousands of listeners would use up this process's files.
+type network struct {
+	workers, others traffic
+	mu              sync.Mutex
+	listeners       map[string]*workerListener
+	shared          net.Listener
+}
+
+func newNetwork(ctx context.Context, netByte int) (*network, error) {
+	shared, err := net.Listen("tcp", fmt.Sprintf("0.0.0.0:%d", workerPort+netByte))
+	if err != nil {
+		return nil, err
+	}
+	n := &network{listeners: map[string]*workerListener{}, shared: shared}
+	context.AfterFunc(ctx, func() { shared.Close() })
+	go n.accept()
+	return n, nil
+}
+
+func (n *network) accept() {
+	for {
+		c, err := n.shared.Accept()
+		if err != nil {
+			return
+		}
+		n.mu.Lock()
+		l := n.listeners[c.LocalAddr().String()]
+		n.mu.Unlock()
+		if l == nil || !l.offer(count(c, &n.workers)) {
+			c.Close()
+		}
+	}
+}
+
+// via is the network as a host sees it.
+func (n *network) via(name string) host.Net {
+	return &hostNet{network: n, worker: strings.HasPrefix(name, "host-")}
+}
+
+type hostNet struct {
+	network *network
+	worker  bool
+}
+
+func (h *hostNet) traffic() *traffic {
+	if h.worker {
+		return &h.network.workers
+	}
+	return &h.network.others
+}
+
+// Listen listens on an address.
+func (h *hostNet) Listen(addr string) (net.Listener, error) {
+	if !h.worker {
+		return host.Real{}.Listen(addr)
+	}
+	l := &workerListener{network: h.network, at: addr, conns: make(chan net.Conn, 16), closed: make(chan struct{})}
+	h.network.mu.Lock()
+	defer h.network.mu.Unlock()
+	h.network.listeners[addr] = l
+	return l, nil
+}
+
+// Dial connects to an address.
+func (h *hostNet) Dial(ctx context.Context, addr string, timeout time.Duration) (net.Conn, error) {
+	c, err := host.Real{}.Dial(ctx, addr, timeout)
+	if err != nil {
+		return nil, err
+	}
+	return count(c, h.traffic()), nil
+}
+
+type workerListener struct {
+	network *network
+	at      string
+	conns   chan net.Conn
+	closed  chan struct{}
+	once    sync.Once
+}
+
+func (l *workerListener) offer(c net.Conn) bool {
+	select {
+	case l.conns <- c:
+		return true
+	default:
+		return false
+	}
+}
+
+// Accept waits for a connection.
+func (l *workerListener) Accept() (net.Conn, error) {
+	select {
+	case c := <-l.conns:
+		return c, nil
+	case <-l.closed:
+		return nil, net.ErrClosed
+	}
+}
+
+// Close ends the listener.
+func (l *workerListener) Close() error {
+	l.once.Do(func() {
+		l.network.mu.Lock()
+		delete(l.network.listeners, l.at)
+		l.network.mu.Unlock()
+		close(l.closed)
+	})
+	return nil
+}
+
+// Addr is where it listens.
+func (l *workerListener) Addr() net.Addr { return workerAddr(l.at) }
+
+type workerAddr string
+
+func (workerAddr) Network() string  { return "tcp" }
+func (a workerAddr) String() string { return string(a) }
--- a/internal/standin/state.go
+++ b/internal/standin/state.go
@@ -31,6 +31,8 @@
 	history []change
 	changed chan struct{}
 	writes  int
+	asked   int // requests
+	bytes   int // of their bodies
 	most    int // most keys held at once
 
 	outage                  bool
@@ -139,6 +141,16 @@
 	return s.writes, s.most
 }
 
+// StateTraffic is what the state service was asked for so far.
+type StateTraffic struct{ Requests, Changes, Bytes, Keys int }
+
+// Traffic tells what was asked for so far, and how many keys there are.
+func (s *State) Traffic() StateTraffic {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return StateTraffic{s.asked, s.writes, s.bytes, len(s.keys)}
+}
+
 func (s *State) expire() {
 	if s.outage {
 		return
@@ -238,6 +250,8 @@
 func (s *State) handle(w http.ResponseWriter, r *http.Request) {
 	body, _ := io.ReadAll(r.Body)
 	s.mu.Lock()
+	s.asked++
+	s.bytes += len(body)
 	took := s.took
 	s.mu.Unlock()
 	time.Sleep(took)
--- a/internal/stats/stats.go
+++ b/internal/stats/stats.go
@@ -5,6 +5,7 @@
 
 import (
 	"net/http"
+	"net/http/pprof"
 	"sync/atomic"
 	"time"
 
@@ -16,6 +17,9 @@
 // Path is where the page is.
 const Path = "/metrics"
 
+// ProfilePath is where a processor profile is, for as many seconds as asked for.
+const ProfilePath = "/debug/pprof/profile"
+
 // Stats are the counters of one node since it started.
 type Stats struct {
 	set      *metrics.Set
@@ -23,6 +27,13 @@
 	requests map[string]*request
 
 	Placed, Stopped, Rented, NotRented, Returned, Terms *metrics.Counter
+	// Relayed are workers' reports passed on to the leader and answered by it, Kept those that this node answered itself
+	// because the leader did not in time, Moved workers that this node sent to another one.
+	Relayed, Kept, Moved *metrics.Counter
+	// NotAdmitted are new jobs that were refused because this node was late.
+	NotAdmitted *metrics.Counter
+	// LogBytes is what was written into the log.
+	LogBytes *metrics.Counter
 	// Round is how long the scheduler takes for a round, Write how long the state
 	// service takes for a batch of the log.
 	Round, Write *metrics.PrometheusHistogram
@@ -48,6 +59,9 @@
 	// Whether this node deals with the cloud and cleans up, and how many rentals are under way.
 	Rents, Cleans bool
 	Rentals       int
+	// What was written to other controllers, and how many workers report to the leader itself.
+	PeerFrames, PeerBytes, PeerWrites int64
+	Seats                             int
 }
 
 // bounds are the upper ends of the histograms' buckets in seconds.
@@ -57,14 +71,19 @@
 func New(kinds ...string) *Stats {
 	set := metrics.NewSet()
 	s := &Stats{set: set, requests: map[string]*request{},
-		Placed:    set.NewCounter("fieldhill_tasks_placed_total"),
-		Stopped:   set.NewCounter("fieldhill_tasks_stopped_total"),
-		Rented:    set.NewCounter("fieldhill_machines_rented_total"),
-		NotRented: set.NewCounter("fieldhill_rentals_refused_total"),
-		Returned:  set.NewCounter("fieldhill_machines_given_up_total"),
-		Terms:     set.NewCounter("fieldhill_terms_total"),
-		Round:     set.NewPrometheusHistogramExt("fieldhill_round_seconds", bounds),
-		Write:     set.NewPrometheusHistogramExt("fieldhill_log_write_seconds", bounds),
+		Placed:      set.NewCounter("fieldhill_tasks_placed_total"),
+		Stopped:     set.NewCounter("fieldhill_tasks_stopped_total"),
+		Rented:      set.NewCounter("fieldhill_machines_rented_total"),
+		NotRented:   set.NewCounter("fieldhill_rentals_refused_total"),
+		Returned:    set.NewCounter("fieldhill_machines_given_up_total"),
+		Terms:       set.NewCounter("fieldhill_terms_total"),
+		Relayed:     set.NewCounter("fieldhill_reports_relayed_total"),
+		Kept:        set.NewCounter("fieldhill_reports_kept_total"),
+		Moved:       set.NewCounter("fieldhill_workers_moved_total"),
+		LogBytes:    set.NewCounter("fieldhill_log_bytes_total"),
+		NotAdmitted: set.NewCounter("fieldhill_jobs_not_admitted_total"),
+		Round:       set.NewPrometheusHistogramExt("fieldhill_round_seconds", bounds),
+		Write:       set.NewPrometheusHistogramExt("fieldhill_log_write_seconds", bounds),
 	}
 	for p := range standby.Parts {
 		s.takeover[p] = set.NewPrometheusHistogramExt(`fieldhill_takeover_seconds{part="`+p.String()+`"}`, bounds)
@@ -81,6 +100,10 @@
 		"fieldhill_leads":                        func(v *View) float64 { return one(v.Leads) },
 		`fieldhill_holds{duty="rent"}`:           func(v *View) float64 { return one(v.Rents) },
 		`fieldhill_holds{duty="clean"}`:          func(v *View) float64 { return one(v.Cleans) },
+		"fieldhill_peer_frames_total":            func(v *View) float64 { return float64(v.PeerFrames) },
+		"fieldhill_peer_bytes_total":             func(v *View) float64 { return float64(v.PeerBytes) },
+		"fieldhill_peer_writes_total":            func(v *View) float64 { return float64(v.PeerWrites) },
+		"fieldhill_workers_here":                 func(v *View) float64 { return float64(v.Seats) },
 		"fieldhill_rentals_open":                 func(v *View) float64 { return float64(v.Rentals) },
 		"fieldhill_term":                         func(v *View) float64 { return float64(v.Term) },
 		"fieldhill_log_applied":                  func(v *View) float64 { return float64(v.Applied) },
@@ -140,6 +163,8 @@
 		w.Header().Set("Content-Type", "text/plain; version=0.0.4")
 		s.set.WritePrometheus(w)
 		metrics.WriteProcessMetrics(w)
+		metrics.WriteFDMetrics(w)
 	})
+	mux.HandleFunc("GET "+ProfilePath, pprof.Profile)
 	return mux
 }
