Explore a relay's steps around the real model, and test what the leader concludes of commands through one

Need: a relay that answers a report by itself has the leader judge that report late. TestFateThroughRelay: only what surely was not sent counts as not sent.

--- a/cmd/scale/main.go
+++ b/cmd/scale/main.go
@@ -130,12 +130,13 @@
 }
 
 type reportCmd struct {
-	Dir string `arg:"" default:"docs/scale" type:"existingdir" help:"Where slopes are stored."`
+	Dir   string `arg:"" default:"docs/scale" type:"existingdir" help:"Where measurements are stored."`
+	Sweep string `default:"deploy/scale/sweep.toml" type:"existingfile" help:"The sweep that they are of."`
 }
 
 // Run carries out the command.
 func (c *reportCmd) Run() error {
-	text, err := scale.CapacityTables(c.Dir)
+	text, err := scale.CapacityTables(c.Dir, c.Sweep)
 	if err != nil {
 		return err
 	}
--- a/internal/controller/relay_test.go
+++ b/internal/controller/relay_test.go
@@ -3,14 +3,17 @@
 import (
 	"context"
 	"fmt"
+	"log/slog"
 	"net/http"
 	"slices"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"fieldhill/internal/peer"
 	"fieldhill/internal/relay"
 	"fieldhill/internal/standin"
+	"fieldhill/internal/worker"
 	"fieldhill/wire"
 )
 
@@ -171,3 +174,65 @@
 		sameSessions(t, w, w.Referee.Starts(), fmt.Sprint("mixed ", c))
 	})
 }
+
+// TestFateThroughRelay: what the leader concludes of a command that a relay was to send: only what surely was not sent counts as
+// not sent, since another copy of it may be executed at any later time.
+func TestFateThroughRelay(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, stop := context.WithCancel(t.Context())
+		network := standin.NewNetwork()
+		ln, err := network.Host("relay").Listen("10.0.0.9:81")
+		if err != nil {
+			t.Fatal(err)
+		}
+		hang := make(chan struct{})
+		handler := func(ctx context.Context, c *peer.Call) *peer.Reply {
+			if c.Op == peer.OpPing {
+				return &peer.Reply{Status: http.StatusOK}
+			}
+			switch c.ID {
+			case "executed":
+				return &peer.Reply{Status: http.StatusOK, Body: relay.Outcome{Fate: uint8(worker.Executed), Report: &wire.Report{Machine: "m"}}.Append(nil)}
+			case "unanswered":
+				return &peer.Reply{Status: http.StatusOK, Body: relay.Outcome{Fate: uint8(worker.Unknown)}.Append(nil)}
+			case "busy":
+				return &peer.Reply{Status: statusBusy}
+			case "malformed":
+				return &peer.Reply{Status: http.StatusOK, Body: []byte{9}}
+			case "older":
+				return &peer.Reply{Status: http.StatusNotImplemented}
+			}
+			<-hang
+			return &peer.Reply{Status: http.StatusOK}
+		}
+		go func() { _ = peer.Serve(ctx, ln, handler, &peer.Traffic{}, slog.New(slog.DiscardHandler)) }()
+		link := peer.NewLink(network.Host("leader"), "relay", "10.0.0.9:81", slog.New(slog.DiscardHandler))
+		n := &Node{}
+		fate := func(id string) worker.Fate {
+			f, _, _ := n.sendOrders(ctx, link, id, &wire.Orders{})
+			return f
+		}
+		if f := fate("executed"); f != worker.Unsent {
+			t.Errorf("without a connection: %d", f)
+		}
+		go link.Run(ctx)
+		time.Sleep(time.Second)
+		for id, want := range map[string]worker.Fate{"executed": worker.Executed, "unanswered": worker.Unknown, "busy": worker.Unsent,
+			"malformed": worker.Unknown, "older": worker.Unsent, "hangs": worker.Unknown} {
+			if f := fate(id); f != want {
+				t.Errorf("%s: %d, want %d", id, f, want)
+			}
+		}
+		go func() {
+			time.Sleep(time.Second)
+			ln.Close()
+			network.Host("relay").End()
+		}()
+		if f := fate("lost"); f != worker.Unknown {
+			t.Errorf("with the connection lost: %d", f)
+		}
+		close(hang)
+		stop()
+		time.Sleep(10 * time.Second)
+	})
+}
--- a/internal/model/check_test.go
+++ b/internal/model/check_test.go
@@ -27,6 +27,7 @@
 	answerForgets      // a start under way in the answer to a report is not waited for
 	lostForgets        // a direct start without an answer is taken for one that never left
 	sessionProves      // the session of any report ends the runs of lower ones
+	relayHandsOn       // a relay that has answered a report itself gives the worker the leader's answer when that comes, whatever the worker has said since
 	reapsEarly         // the end of an attempt is logged, and it is reaped, though a start of it may be under way; nothing fences that
 )
 
@@ -57,6 +58,8 @@
 	terms     int
 	lapses    int
 	broken    string
+	relay     bool // a relay may answer reports by itself; the leader then gets them late
+	late      int  // the report that a relay has answered and the leader has not had yet, 1 is the first; 0: none
 }
 
 const theTask = "req-000007/0"
@@ -80,7 +83,7 @@
 	for _, x := range []uint64{w.life, w.session, w.seq, w.token, w.holds, w.early, uint64(w.waits), uint64(w.terms), uint64(w.lapses), w.m.TermBase} {
 		b = binary.AppendUvarint(b, x)
 	}
-	b = fmt.Appendf(b, "%v %v %v %+v", w.elsewhere, w.exited, w.broken, w.reports)
+	b = fmt.Appendf(b, "%v %v %v %v %+v", w.elsewhere, w.exited, w.broken, w.late, w.reports)
 	for _, u := range w.net {
 		b = fmt.Appendf(b, "%v %v %v %v %v %v %+v", u.life, u.token, u.session, u.answer, u.heard, u.term, u.q)
 		for _, c := range u.cmds {
@@ -203,6 +206,9 @@
 				w.waits = -1 // answered, and the answer is under way
 			})
 			step("the worker gives its report up", func(w *sight) { w.waits = 0 })
+			if w.relay && w.late == 0 {
+				step(fmt.Sprint("a relay answers report ", i, " by itself"), func(w *sight) { w.waits, w.late = 0, i+1 })
+			}
 		} else {
 			step(fmt.Sprint("a copy of report ", i, " comes"), func(w *sight) {
 				var q *hearing.Question
@@ -214,6 +220,21 @@
 			})
 		}
 	}
+	if w.late != 0 {
+		step(fmt.Sprint("report ", w.late-1, " comes from the relay"), func(w *sight) {
+			r := w.reports[w.late-1]
+			w.late = 0
+			if v := w.observe(&r, nil); v.Stale() {
+				return
+			}
+			mc := w.m.Order[0]
+			mc.Ear.Tell(w.m.Token(mc))
+			u := underWay{life: w.life, session: r.Session, answer: true, token: w.m.Token(mc), term: w.m.TermBase, cmds: w.commands(true)}
+			if w.slip == relayHandsOn {
+				w.net = append(w.net, u)
+			} // else the relay has no connection any more on which the worker waits for it
+		})
+	}
 	if w.waits == -1 {
 		step("the answer is lost", func(w *sight) {
 			w.net = slices.DeleteFunc(w.net, func(u underWay) bool { return u.answer })
@@ -367,11 +388,15 @@
 		slip        slip
 		from        []string
 		depth, most int
+		relay       bool
 	}{
-		{right, nil, 20, 20_000}, {right, held, 20, 20_000}, {copyIsAnswer, nil, 12, 60_000}, {answerForgets, nil, 12, 60_000}, {lostForgets, nil, 12, 60_000},
-		{sessionProves, nil, 14, 150_000}, {reapsEarly, held, 14, 60_000},
+		{right, nil, 20, 20_000, false}, {right, held, 20, 20_000, false}, {copyIsAnswer, nil, 12, 60_000, false}, {answerForgets, nil, 12, 60_000, false}, {lostForgets, nil, 12, 60_000, false},
+		{sessionProves, nil, 14, 150_000, false}, {reapsEarly, held, 14, 60_000, false},
+		{right, nil, 20, 30_000, true}, {right, held, 20, 30_000, true}, {relayHandsOn, nil, 16, 60_000, true},
 	} {
-		r := check.Explore(walk(t, sightOf(t, c.slip), c.from...), c.depth, c.most)
+		w := walk(t, sightOf(t, c.slip), c.from...)
+		w.relay = c.relay
+		r := check.Explore(w, c.depth, c.most)
 		if found := r.Broken != ""; found != (c.slip != right) {
 			t.Errorf("slip %d: %s", c.slip, r)
 		} else {
--- /dev/null
+++ b/internal/scale/scale_test.go
@@ -0,0 +1,67 @@
+package scale
+
+import (
+	"math"
+	"math/rand/v2"
+	"os"
+	"strings"
+	"testing"
+)
+
+// TestFitFindsTheLine: the slope of drawn points with noise lies within some errors of the true one, and a bend is seen.
+func TestFitFindsTheLine(t *testing.T) {
+	rng := rand.New(rand.NewPCG(1, 2))
+	var points, bent []Point
+	for x := 100.0; x <= 1000; x += 100 {
+		for range 3 {
+			noise := rng.NormFloat64()
+			points = append(points, Point{x, 5 + 0.02*x + noise})
+			bent = append(bent, Point{x, 0.02*x + 0.08*max(0, x-550)})
+		}
+	}
+	l, err := Fit(points)
+	if err != nil || math.Abs(l.B-0.02) > 4*l.ErrB || math.Abs(l.A-5) > 4*l.ErrA || l.ErrB > 0.002 || l.From != 100 || l.To != 1000 || l.N != 30 {
+		t.Errorf("%+v, %v", l, err)
+	}
+	if l, err := Fit(bent); err != nil || l.Bend < 0.5 {
+		t.Errorf("a bend is not seen: %+v, %v", l, err)
+	}
+	if _, err := Fit(points[:6]); err == nil {
+		t.Error("a slope of two sizes")
+	}
+}
+
+// TestProfileErrorsNameTheField: each wrong setting gets one error that begins with the field's name.
+func TestProfileErrorsNameTheField(t *testing.T) {
+	for text, field := range map[string]string{
+		"workers = 0":                            "workers:",
+		"tasks_running = 3":                      "tasks_running:",
+		"[starts]\nshape = \"wave\"":             "starts.shape:",
+		"accelerators = 64\n[gangs]\nsizes=[65]": "gangs.sizes[0]:",
+		"regions = 16\ncontrollers_each = 16":    "controllers_each:",
+		"[workload]\ncold_share = 2.0":           "workload.cold_share:",
+	} {
+		if _, err := ParseProfile([]byte(text)); err == nil || !strings.HasPrefix(err.Error(), field) {
+			t.Errorf("%q: %v, want %s", text, err, field)
+		}
+	}
+}
+
+// TestProfilesOfTheRepository: the profiles and sweeps that are there can be run.
+func TestProfilesOfTheRepository(t *testing.T) {
+	files, err := os.ReadDir("../../deploy/scale")
+	if err != nil || len(files) < 5 {
+		t.Fatal(err, len(files))
+	}
+	for _, f := range files {
+		path := "../../deploy/scale/" + f.Name()
+		if strings.HasPrefix(f.Name(), "sweep") {
+			_, err = LoadSweep(path)
+		} else {
+			_, err = LoadProfile(path)
+		}
+		if err != nil {
+			t.Errorf("%s: %v", path, err)
+		}
+	}
+}
--- a/internal/scale/sweep.go
+++ b/internal/scale/sweep.go
@@ -29,7 +29,8 @@
 
 // varied are the fields that a series may vary.
 var varied = map[string]func(p *Profile, v float64){
-	"workers": func(p *Profile, v float64) { // tasks of the base and its rate stay with each worker; the starts stay
+	"workers": func(p *Profile, v float64) { // a long task on each; the starts and the short tasks stay, sockets grow with the workers
+		p.Limits.MaxSockets = int(float64(p.Limits.MaxSockets) * v / float64(p.Workers))
 		p.TasksRunning += int(v) - p.Workers
 		p.Workers = int(v)
 	},
