--- a/internal/duty/check_test.go
+++ b/internal/duty/check_test.go
@@ -349,7 +349,7 @@
 	}
 	if n.lives == 0 && n.k.Term() != 0 && !w.prompt {
 		step(me+" ends and starts anew", func(w *world) {
-			*(&w.nodes[i]) = node{k: *New(Rent, me, modelRules), lives: 1}
+			w.nodes[i] = node{k: *New(Rent, me, modelRules), lives: 1}
 		})
 	}
 }
--- a/internal/scale/sweep.go
+++ b/internal/scale/sweep.go
@@ -22,6 +22,9 @@
 	Values []float64 `toml:"values"`
 }
 
+// upPerS is how many workers a second come up at least, so that all are there when the measurement begins.
+const upPerS = 40
+
 const (
 	leastSizes  = 4
 	leastRepeat = 3
@@ -31,6 +34,7 @@
 var varied = map[string]func(p *Profile, v float64){
 	"workers": func(p *Profile, v float64) { // a long task on each; the starts and the short tasks stay, sockets grow with the workers
 		p.Limits.MaxSockets = int(float64(p.Limits.MaxSockets) * v / float64(p.Workers))
+		p.WarmS += v / upPerS
 		p.TasksRunning += int(v) - p.Workers
 		p.Workers = int(v)
 	},
--- a/internal/vouch/vouch_test.go
+++ b/internal/vouch/vouch_test.go
@@ -28,11 +28,9 @@
 		others := rapid.IntRange(0, 3).Draw(t, "others")
 		clock := func() float64 { return 1 + rapid.SampledFrom([]float64{-0.0005, 0, 0.0005}).Draw(t, "drift") }
 		me := &process{rate: clock()}
-		var all []*process
 		live := make([]*process, others)
 		for i := range live {
 			live[i] = &process{node: i, rate: clock()}
-			all = append(all, live[i])
 		}
 		now, complete, mySeq := 0.0, 0.0, uint64(0)
 		committed := uint64(0)
@@ -62,7 +60,6 @@
 			case what == 2 && i >= 0: // it ends, and is back
 				live[i].ended = now
 				live[i] = &process{node: i, begun: now + 0.02, rate: clock()}
-				all = append(all, live[i])
 				now += 0.03
 			case what == 3: // the asker reads the log
 				me.past.Saw(committed)
