--- a/internal/controller/requests.go
+++ b/internal/controller/requests.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/http"
 	"time"
 
 	"fieldhill/internal/api"
@@ -25,6 +26,24 @@
 	since time.Time
 }
 
+// answerWithin bounds how long an answer may wait for the log. A write that
+// takes longer is still repeated, but its user is told at once to ask again.
+const answerWithin = 2500 * time.Millisecond
+
+// quickly bounds how long the leader is waited for where there is another way
+// to an answer.
+const quickly = 350 * time.Millisecond
+
+// inLoop runs f in the loop; f must send exactly one reply, at once or later.
+func (n *Node) inLoop(ctx context.Context, f func(send func(*peer.Reply))) *peer.Reply {
+	return n.replied(ctx, n.offer, f)
+}
+
+// overloaded refuses a new job while this controller is late.
+var overloaded = api.Refuse(http.StatusTooManyRequests, "more work is offered than can be taken")
+
+var noLeader = api.Later("no leader at the moment", 1)
+
 // offerRequest hands a piece of a user's request to the loop, unless it is far behind.
 func (n *Node) offerRequest(f func()) error {
 	select {
