Rename hearing to staleness, with the standard names: stamp, tracker, freshness, incarnation

No change of behaviour: package hearing is staleness (Word: Stamp, Ear: Tracker, Sense: Freshness with Stale, Unproven, Fresh and Restarted, Lives: Incarnations, Deaf: OneWay); a machine's Ear is its Reports. go test of model and controller passes.

--- a/internal/controller/workers.go
+++ b/internal/controller/workers.go
@@ -9,10 +9,10 @@
 	"fieldhill/internal/api"
 	"fieldhill/internal/config"
 	"fieldhill/internal/fleet"
-	"fieldhill/internal/hearing"
 	"fieldhill/internal/model"
 	"fieldhill/internal/peer"
 	"fieldhill/internal/relay"
+	"fieldhill/internal/staleness"
 	"fieldhill/internal/standby"
 	"fieldhill/internal/worker"
 	"fieldhill/wire"
@@ -95,7 +95,7 @@
 	if !n.mayRenew() {
 		return api.Later("no leader at the moment", 1)
 	}
-	mc.Ear.Tell(n.m.Token(mc))
+	mc.Reports.Tell(n.m.Token(mc))
 	return n.renew(mc.Info.Name, n.m.Token(mc), n.m.Commands(mc, n.role.committed, true))
 }
 
@@ -187,7 +187,7 @@
 }
 
 // answered takes the answer of a machine that was asked how it is.
-func (n *Node) answered(mc *model.Machine, rep *wire.Report, q *hearing.Question) {
+func (n *Node) answered(mc *model.Machine, rep *wire.Report, q *staleness.Question) {
 	if n.m.Machines[mc.ID] != mc || rep.Machine != mc.Info.Name {
 		return
 	}
@@ -204,7 +204,7 @@
 }
 
 // observe takes in a report, or the answer to a question, and logs what it proves.
-func (n *Node) observe(mc *model.Machine, r *wire.Report, q *hearing.Question) model.Verdict {
+func (n *Node) observe(mc *model.Machine, r *wire.Report, q *staleness.Question) model.Verdict {
 	bad, deaf, first := mc.Bad, mc.DeafSince != 0, !mc.Reported
 	v := n.m.Observe(mc, r, q, n.now())
 	for _, e := range v.Entries {
@@ -221,7 +221,7 @@
 		n.fleet.CameUp(mc.Type, mc.Zone, fleet.BootRatio(n.m, mc, n.now()))
 	}
 	switch {
-	case v.Sense == hearing.Reborn:
+	case v.Freshness == staleness.Restarted:
 		n.log.Info("machine began anew under its name", "machine", mc.Info.Name, "session", r.Session, "seq", r.Seq, "tasks", len(mc.Runs))
 		n.touch(mc) // a token that its earlier life can't have
 	case v.Slow:
@@ -361,7 +361,7 @@
 	if n.waitsForLog(mc) {
 		r.later[mc] = true
 	}
-	if len(cmds) == 0 && mc.Ear.Fenced() {
+	if len(cmds) == 0 && mc.Reports.Fenced() {
 		return
 	}
 	token, q := n.m.Token(mc), n.m.Ask(mc)
--- a/internal/model/check_test.go
+++ b/internal/model/check_test.go
@@ -8,7 +8,7 @@
 	"testing"
 
 	"fieldhill/internal/check"
-	"fieldhill/internal/hearing"
+	"fieldhill/internal/staleness"
 	"fieldhill/wire"
 )
 
@@ -36,7 +36,7 @@
 	cmds                 []wire.Command
 	answer               bool // to the report in flight
 	heard                bool // its sender still waits for what comes of it
-	q                    *hearing.Question
+	q                    *staleness.Question
 	term                 uint64
 }
 
@@ -54,7 +54,7 @@
 	reports   []wire.Report
 	waits     int // the report that waits for its answer, 1 is the first; 0: none
 	net       []underWay
-	question  *hearing.Question
+	question  *staleness.Question
 	terms     int
 	lapses    int
 	broken    string
@@ -76,7 +76,7 @@
 
 func (w sight) Key() string {
 	mc := w.m.Order[0]
-	b := fmt.Appendf(nil, "%+v %v %v %v %v", mc.Ear, mc.Session, mc.Bump, mc.unsure, mc.dead)
+	b := fmt.Appendf(nil, "%+v %v %v %v %v", mc.Reports, mc.Session, mc.Bump, mc.unsure, mc.dead)
 	for _, r := range mc.Runs {
 		b = fmt.Appendf(b, " %v/%v/%v/%v/%v/%v/%v", r.Attempt, r.Session, r.Phase, r.Inherited, r.answerSeq, r.Stop, r.goneFrom)
 	}
@@ -110,14 +110,14 @@
 }
 
 // observe gives the leader a message and has it apply what that proves.
-func (w *sight) observe(r *wire.Report, q *hearing.Question) Verdict {
+func (w *sight) observe(r *wire.Report, q *staleness.Question) Verdict {
 	mc := w.m.Order[0]
 	bump := mc.Bump
 	v := w.m.Observe(mc, r, q, 1)
 	if w.slip == reapsEarly {
 		mc.Bump = bump
 	}
-	if w.slip == sessionProves && v.Sense == hearing.Unproven {
+	if w.slip == sessionProves && v.Freshness == staleness.Unproven {
 		for _, run := range mc.Runs {
 			if run.Session < r.Session {
 				v.Entries = append(v.Entries, &Entry{Kind: EntryEnded, Job: 7, Task: 0, Attempt: run.Attempt})
@@ -193,7 +193,7 @@
 				v := w.observe(&r, nil)
 				u := underWay{life: w.life, session: r.Session, answer: true, token: w.m.Token(mc), term: w.m.TermBase}
 				if !v.Stale() {
-					mc.Ear.Tell(w.m.Token(mc))
+					mc.Reports.Tell(w.m.Token(mc))
 					u.cmds = w.commands(true)
 					for _, run := range mc.Runs {
 						if w.slip == answerForgets && run.answerSeq != 0 {
@@ -211,7 +211,7 @@
 			}
 		} else {
 			step(fmt.Sprint("a copy of report ", i, " comes"), func(w *sight) {
-				var q *hearing.Question
+				var q *staleness.Question
 				if w.slip == copyIsAnswer {
 					q = w.m.Ask(w.m.Order[0])
 					r.Token = w.m.TermBase + 1<<20
@@ -228,7 +228,7 @@
 				return
 			}
 			mc := w.m.Order[0]
-			mc.Ear.Tell(w.m.Token(mc))
+			mc.Reports.Tell(w.m.Token(mc))
 			u := underWay{life: w.life, session: r.Session, answer: true, token: w.m.Token(mc), term: w.m.TermBase, cmds: w.commands(true)}
 			if w.slip == relayHandsOn {
 				w.net = append(w.net, u)
--- a/internal/model/model.go
+++ b/internal/model/model.go
@@ -22,9 +22,9 @@
 	"time"
 
 	"fieldhill/internal/config"
-	"fieldhill/internal/hearing"
 	"fieldhill/internal/intern"
 	"fieldhill/internal/renewal"
+	"fieldhill/internal/staleness"
 	"fieldhill/internal/why"
 	"fieldhill/wire"
 )
@@ -287,8 +287,8 @@
 
 	// What the leader observes.
 	Session    uint64
-	Ear        hearing.Ear // what was heard of its worker
-	DeafSince  Time        // since when answers are known not to arrive; 0: they do
+	Reports    staleness.Tracker // what was heard of its worker
+	DeafSince  Time              // since when answers are known not to arrive; 0: they do
 	Bump       uint64
 	Reported   bool // it has reported to this leader
 	LastReport Time
--- a/internal/model/observe.go
+++ b/internal/model/observe.go
@@ -4,8 +4,8 @@
 	"math"
 	"slices"
 
-	"fieldhill/internal/hearing"
 	"fieldhill/internal/renewal"
+	"fieldhill/internal/staleness"
 	"fieldhill/wire"
 )
 
@@ -38,7 +38,7 @@
 func (m *Model) BeginTerm(base uint64, now Time) {
 	m.TermBase = base
 	for _, mc := range m.Order {
-		mc.Session, mc.Ear, mc.DeafSince, mc.MuteSince, mc.Bump = 0, hearing.Ear{}, 0, 0, 0
+		mc.Session, mc.Reports, mc.DeafSince, mc.MuteSince, mc.Bump = 0, staleness.Tracker{}, 0, 0, 0
 		mc.Reported, mc.LastReport, mc.KnownSince, mc.Notice, mc.RentedAt, mc.Overdue = false, now, now, 0, 0, false
 		mc.Sending, mc.NoDirect = false, false
 		if mc.SuspectFrom = 0; mc.Suspect {
@@ -100,19 +100,21 @@
 
 // Verdict is what Observe makes of a report.
 type Verdict struct {
-	Sense   hearing.Sense // what the report proves; Old and Unproven: nothing of now
-	Entries []*Entry
-	Faulty  []*Job     // jobs that this report shows to fail everywhere
-	Slow    bool       // the report shows the machine to be slow
-	Meet    []*Machine // whose gangs' members may be told to start now
-	Ask     bool       // the report would end runs that were there, if it is of now: the machine is to be asked
+	Freshness staleness.Freshness // what the report proves; Old and Unproven: nothing of now
+	Entries   []*Entry
+	Faulty    []*Job     // jobs that this report shows to fail everywhere
+	Slow      bool       // the report shows the machine to be slow
+	Meet      []*Machine // whose gangs' members may be told to start now
+	Ask       bool       // the report would end runs that were there, if it is of now: the machine is to be asked
 }
 
 // Stale tells whether the report proves nothing of now: the machine is to be asked.
-func (v *Verdict) Stale() bool { return v.Sense == hearing.Old || v.Sense == hearing.Unproven }
+func (v *Verdict) Stale() bool {
+	return v.Freshness == staleness.Stale || v.Freshness == staleness.Unproven
+}
 
 // Ask notes what is known of a machine as a question goes to it, a look or a command.
-func (m *Model) Ask(mc *Machine) *hearing.Question { return mc.Ear.Ask() }
+func (m *Model) Ask(mc *Machine) *staleness.Question { return mc.Reports.Ask() }
 
 // reached is a session that a machine's worker is known, by the log, to have reached.
 func (mc *Machine) reached() (session uint64) {
@@ -124,9 +126,9 @@
 
 // Observe takes a worker's report, or the report that a question was answered with (q: what was known when it was
 // asked), and returns the entries it is evidence for. The caller logs and applies them.
-func (m *Model) Observe(mc *Machine, r *wire.Report, q *hearing.Question, now Time) Verdict {
-	w := hearing.Word{Number: hearing.Number{Session: r.Session, Seq: r.Seq}, Token: r.Token}
-	v := Verdict{Sense: mc.Ear.Judge(w, m.TermBase, mc.reached(), q)}
+func (m *Model) Observe(mc *Machine, r *wire.Report, q *staleness.Question, now Time) Verdict {
+	w := staleness.Stamp{Number: staleness.Number{Session: r.Session, Seq: r.Seq}, Token: r.Token}
+	v := Verdict{Freshness: mc.Reports.Judge(w, m.TermBase, mc.reached(), q)}
 	if v.Stale() {
 		// Not even its session proves anything: it may be a copy from an earlier life of the worker, whose sessions had
 		// gone further than those of the present one.
@@ -134,10 +136,10 @@
 	}
 	answer := q != nil
 	known := mc.Reported
-	if v.Sense == hearing.Reborn {
+	if v.Freshness == staleness.Restarted {
 		mc.Bump++ // what was sent to its earlier life has lower tokens
 	}
-	met := mc.Ear.Take(w, v.Sense, m.Token(mc), !answer)
+	met := mc.Reports.Take(w, v.Freshness, m.Token(mc), !answer)
 	lapsed := !answer && known && r.Session > mc.Session
 	doubt := lapsed || !answer && mc.NoDirect
 	session := mc.Session
@@ -146,11 +148,11 @@
 	switch {
 	case !answer:
 		mc.NoDirect, mc.MuteSince = false, 0
-	case known && v.Sense != hearing.Reborn && r.Session > session && mc.MuteSince == 0:
+	case known && v.Freshness != staleness.Restarted && r.Session > session && mc.MuteSince == 0:
 		mc.MuteSince = max(now, 1) // it is reached, and nobody renewed its lease: what it gets lasts for a lease
 	}
 	switch {
-	case mc.Ear.Deaf():
+	case mc.Reports.OneWay():
 		mc.FoundDeaf(now)
 	case met || answer:
 		mc.DeafSince = 0
@@ -198,7 +200,7 @@
 // Try raises a machine's token, unless the worker is yet to show the last one: whether answers arrive is not known, and the report
 // after the next answer tells.
 func (m *Model) Try(mc *Machine) {
-	if mc.Ear.Token() >= m.Token(mc) {
+	if mc.Reports.Token() >= m.Token(mc) {
 		mc.Bump++
 	}
 }
@@ -319,11 +321,11 @@
 		}
 		return gone
 	}
-	if !mc.Ear.Fenced() {
+	if !mc.Reports.Fenced() {
 		return nil // a start that was sent to an earlier life may come to this one
 	}
 	if run.Session > r.Session {
-		if mc.Ear.Lives() > 0 {
+		if mc.Reports.Incarnations() > 0 {
 			return gone // of an earlier life
 		}
 		return nil
@@ -412,7 +414,7 @@
 			_, open := mc.unsure[d.key]
 			// After it is forgotten a repeated start would run it again, so no
 			// start of it may be under way, from this leader or another.
-			if open || committed < d.seq || mc.Ear.Token() < m.TermBase || !mc.Ear.Fenced() {
+			if open || committed < d.seq || mc.Reports.Token() < m.TermBase || !mc.Reports.Fenced() {
 				if open {
 					m.fence(mc, d.key)
 				}
@@ -439,7 +441,7 @@
 			}
 			c.Verb = wire.Start
 			if viaAnswer {
-				r.answerSeq = mc.Ear.Number().Seq
+				r.answerSeq = mc.Reports.Number().Seq
 			}
 		case r.Stop && !r.Job.Cancelled && committed >= r.Seq:
 			c.Verb, c.GraceS = wire.Stop, new(float64)
