Revert half a share of the workers for the leader: it serves less

Tried: the leader ends half as many workers' connections as a relay, since it places all tasks besides.

--- a/internal/relay/table.go
+++ b/internal/relay/table.go
@@ -20,10 +20,7 @@
 	offShareNumerator, offShareDenominator = 4, 5
 	// slackDivisor and leastSlack are how far above its fair share a node may be before workers are moved away from it.
 	slackDivisor = 8
-	leastSlack   = 2
-	// leaderWeight and relayWeight are how many workers a node ends in proportion: the leader places all tasks besides.
-	leaderWeight = 1
-	relayWeight  = 2
+	leastSlack   = 4
 	// firstPause is for how long no workers are sent to a node after one that was sent there came through another: the
 	// workers may not reach it. The pause doubles up to mostPause until one does.
 	firstPause = 10 * time.Second
@@ -91,33 +88,19 @@
 	if !t.on {
 		return Leader, node != Leader
 	}
-	takes := func(i int) bool { // the leader too is closed where workers that were sent to it came back
-		return (i == Leader || open[i]) && now >= t.closed[i]
-	}
-	all := 0
+	nodes, to := 0, node
 	for i := range t.counts {
-		if takes(i) {
-			all += weight(i)
-		}
-	}
-	// share is how many workers a node has where each has its part; a node that takes no more has none to keep.
-	share := func(i int) int {
-		if all == 0 || !takes(i) {
-			return 0
+		if i != Leader && !open[i] || now < t.closed[i] {
+			continue // the leader too is closed where workers that were sent to it came back
 		}
-		return (len(t.seats)*weight(i) + all - 1) / all
-	}
-	own := share(node)
-	if t.counts[node] <= own+max(leastSlack, own/slackDivisor) {
-		return node, false
-	}
-	to, lacks := node, 0
-	for i := range t.counts {
-		if d := share(i) - t.counts[i]; i != node && d > lacks {
-			to, lacks = i, d
+		nodes++
+		if t.counts[i] < t.counts[to] {
+			to = i
 		}
 	}
-	if to == node {
+	fair := (len(t.seats) + nodes - 1) / max(1, nodes)
+	slack := max(leastSlack, fair/slackDivisor)
+	if to == node || t.counts[node] <= fair+slack || t.counts[to] >= fair {
 		return node, false
 	}
 	t.counts[node]--
@@ -126,13 +109,6 @@
 	return to, true
 }
 
-func weight(node int) int {
-	if node == Leader {
-		return leaderWeight
-	}
-	return relayWeight
-}
-
 // Forget drops the machines that were not heard of since a time.
 func (t *Table) Forget(before Time) {
 	for m, s := range t.seats {
