On a last reading: ask which nodes are open only where workers are spread, one wait for the loop's reply, one kind of slot

No change of behaviour. A leader without relays made a list and looked at every link for each report; the table asks when it needs to know. A relayed report waited for the loop by a copy of what inLoop does; the replies of a late loop have names now, and are told apart by them. Three bounds of what is under way share a type. Fields of the plan that nothing read are gone, and lines are fitted once. The design says that short looks of users' requests still go by the first queue.

--- a/internal/controller/relay.go
+++ b/internal/controller/relay.go
@@ -39,8 +39,8 @@
 type relaying struct {
 	target    atomic.Pointer[peer.Link] // to the leader; nil: this node leads, or does not reach one
 	on        atomic.Bool               // the leader wants reports passed on
-	reports   chan struct{}             // room for reports under way
-	orders    chan struct{}             // room for direct commands under way
+	reports   slots                     // reports under way
+	orders    slots                     // direct commands and questions under way
 	offeredAt time.Time
 	offeredTo *peer.Link
 	// offersNothing is for tests: the node behaves as one of a version without relays.
@@ -48,9 +48,24 @@
 }
 
 func newRelaying() *relaying {
-	return &relaying{reports: make(chan struct{}, relayAtOnce), orders: make(chan struct{}, relayAtOnce)}
+	return &relaying{reports: make(slots, relayAtOnce), orders: make(slots, relayAtOnce)}
 }
 
+// slots bounds what is under way at the same time.
+type slots chan struct{}
+
+// take takes a slot, if one is free.
+func (s slots) take() bool {
+	select {
+	case s <- struct{}{}:
+		return true
+	default:
+		return false
+	}
+}
+
+func (s slots) release() { <-s }
+
 // tendRelay keeps the way to the leader up to date and offers this node as a relay.
 func (n *Node) tendRelay() {
 	rl := n.relaying
@@ -116,12 +131,10 @@
 	if target == nil || !rl.on.Load() {
 		return nil
 	}
-	select {
-	case rl.reports <- struct{}{}:
-		defer func() { <-rl.reports }()
-	default:
+	if !rl.reports.take() {
 		return n.keepRelayed(ctx, r)
 	}
+	defer rl.reports.release()
 	ctx, cancel := context.WithTimeout(ctx, relayWithin)
 	defer cancel()
 	a, err := target.Call(ctx, &peer.Call{Op: peer.OpReport, ID: n.set.Node, Body: relay.AppendReport(nil, r)})
@@ -157,25 +170,18 @@
 	if err != nil || r.Machine == "" || r.Session == 0 {
 		return api.Refuse(http.StatusBadRequest, "malformed report")
 	}
-	answer := make(chan *peer.Reply, 1)
-	if n.offer(func() {
+	a := n.inLoop(ctx, func(send func(*peer.Reply)) {
 		if node := n.memberIndex(c.ID); n.role != nil && node != relay.Leader {
-			n.reportToLeader(r, node, func(a *peer.Reply) { answer <- a })
+			n.reportToLeader(r, node, send)
 			return
 		}
-		answer <- &peer.Reply{Status: statusNotLeader}
-	}) != nil {
+		send(&peer.Reply{Status: statusNotLeader})
+	})
+	switch a {
+	case loopBusy, loopSlow, givenUp, stopping:
 		return &peer.Reply{Status: statusBusy}
 	}
-	t := time.NewTimer(answerWithin)
-	defer t.Stop()
-	select {
-	case a := <-answer:
-		return a
-	case <-t.C:
-	case <-ctx.Done():
-	}
-	return &peer.Reply{Status: statusBusy}
+	return a
 }
 
 // moved tells whether a worker is to report through another node, and to which.
@@ -186,10 +192,7 @@
 	if !mc.Reported || now-mc.LastReport > n.lease()/4 {
 		return "", false // its lease is renewed first: to look for another node takes time
 	}
-	open := make([]bool, len(r.open))
-	for i := range n.set.Members {
-		open[i+1] = r.open[i+1] && n.relays(i+1)
-	}
+	open := func(i int) bool { return r.open[i] && n.relays(i) }
 	i, move := r.seats.Move(mc.Info.Name, node, open, now)
 	switch {
 	case !move:
@@ -295,12 +298,10 @@
 
 // passQuestion asks a worker for the leader.
 func (n *Node) passQuestion(ctx context.Context, c *peer.Call) *peer.Reply {
-	select {
-	case n.relaying.orders <- struct{}{}:
-		defer func() { <-n.relaying.orders }()
-	default:
+	if !n.relaying.orders.take() {
 		return &peer.Reply{Status: statusBusy}
 	}
+	defer n.relaying.orders.release()
 	rep, err := n.worker.Show(ctx, c.ID, askFor)
 	if err != nil {
 		return &peer.Reply{Status: http.StatusServiceUnavailable}
@@ -314,12 +315,10 @@
 	if err != nil {
 		return api.Refuse(http.StatusBadRequest, err.Error())
 	}
-	select {
-	case n.relaying.orders <- struct{}{}:
-		defer func() { <-n.relaying.orders }()
-	default:
+	if !n.relaying.orders.take() {
 		return &peer.Reply{Status: statusBusy}
 	}
+	defer n.relaying.orders.release()
 	fate, rep, _ := n.worker.Orders(ctx, c.ID, o)
 	return &peer.Reply{Status: http.StatusOK, Body: relay.Outcome{Fate: uint8(fate), Report: rep}.Append(nil)}
 }
--- a/internal/controller/requests.go
+++ b/internal/controller/requests.go
@@ -10,7 +10,8 @@
 )
 
 // This file is the order in which the loop does its work. What keeps leases, ends and cancellations comes by n.work, what
-// users submit and ask by n.requests, of which a few are taken at a time, after all else that waits.
+// users submit and ask by n.requests, of which a few are taken at a time, after all else that waits. Short looks that a request needs
+// before that still go by n.work (ask).
 
 const (
 	// requestsAtOnce bounds users' requests that wait for the loop; further ones are refused.
@@ -44,6 +45,14 @@
 
 var noLeader = api.Later("no leader at the moment", 1)
 
+// What is answered where the loop has not replied in time.
+var (
+	loopBusy = api.Later("busy", 2)
+	loopSlow = api.Later("the state service is slow", 1)
+	givenUp  = api.Later("given up", 1)
+	stopping = api.Later("stopping", 1)
+)
+
 // offerRequest hands a piece of a user's request to the loop, unless it is far behind.
 func (n *Node) offerRequest(f func()) error {
 	select {
@@ -63,7 +72,7 @@
 func (n *Node) replied(ctx context.Context, offer func(func()) error, f func(send func(*peer.Reply))) *peer.Reply {
 	ch := make(chan *peer.Reply, 1)
 	if offer(func() { f(func(r *peer.Reply) { ch <- r }) }) != nil {
-		return api.Later("busy", 2)
+		return loopBusy
 	}
 	t := time.NewTimer(answerWithin)
 	defer t.Stop()
@@ -71,11 +80,11 @@
 	case r := <-ch:
 		return r
 	case <-t.C:
-		return api.Later("the state service is slow", 1)
+		return loopSlow
 	case <-ctx.Done():
-		return api.Later("given up", 1)
+		return givenUp
 	case <-n.ctx.Done():
-		return api.Later("stopping", 1)
+		return stopping
 	}
 }
 
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -28,7 +28,7 @@
 			table.Heard(machine, node, now)
 			plain[machine], heard[machine] = node, now
 			before := append([]int(nil), table.Counts()...)
-			if to, move := table.Move(machine, node, open, now); move {
+			if to, move := table.Move(machine, node, func(i int) bool { return open[i] }, now); move {
 				if to == node || to != Leader && !open[to] || before[to] >= before[node] {
 					t.Fatalf("moved from %d (%d) to %d (%d), open %v", node, before[node], to, before[to], open)
 				}
@@ -60,7 +60,7 @@
 // TestTableEvensOut: all workers come to the leader at once, and are spread within a few of their reports; a node that is
 // back gets its share again.
 func TestTableEvensOut(t *testing.T) {
-	table, open := NewTable(3), []bool{false, true, true}
+	table, open := NewTable(3), func(int) bool { return true }
 	table.Switch(3000, 2000)
 	round := func() (moves int) {
 		for i := range 3000 {
--- a/internal/relay/table.go
+++ b/internal/relay/table.go
@@ -83,14 +83,14 @@
 func (t *Table) Counts() []int { return t.counts }
 
 // Move decides whether a machine that reports through a node is sent to another one. Open tells which nodes take more
-// workers now; the leader always does. The machine counts as moved at once, so that no more are sent than needed.
-func (t *Table) Move(machine string, node int, open []bool, now Time) (to int, move bool) {
+// workers now, and is asked only where workers are spread; the leader always does. The machine counts as moved at once, so that no more are sent than needed.
+func (t *Table) Move(machine string, node int, open func(node int) bool, now Time) (to int, move bool) {
 	if !t.on {
 		return Leader, node != Leader
 	}
 	nodes, to := 0, node
 	for i := range t.counts {
-		if i != Leader && !open[i] || now < t.closed[i] {
+		if now < t.closed[i] || i != Leader && !open(i) {
 			continue // the leader too is closed where workers that were sent to it came back
 		}
 		nodes++
--- a/internal/scale/capacity.go
+++ b/internal/scale/capacity.go
@@ -15,11 +15,10 @@
 
 // plan is the operators' plan, of all regions together.
 var plan = struct {
-	regions                     int
-	workers, running, starts    float64
-	teams, finishedADay, gang   float64
-	workerCPU, workerMB, workKB float64
-}{4, 4700, 26_000, 2200, 55, 21_000, 64, 0.015, 256, 8}
+	regions                  int
+	workers, running, starts float64
+	teams, finishedADay      float64
+}{4, 4700, 26_000, 2200, 55, 21_000}
 
 // controllersEach is how many of the sixteen machines set aside a region has.
 const controllersEach = 4
@@ -28,14 +27,13 @@
 func planned(starts float64) size {
 	n := float64(plan.regions)
 	return size{"workers": plan.workers / n, "tasks_running": plan.running / n, "starts_per_s": starts, "teams": plan.teams,
-		"finished_before": plan.finishedADay / n, "controllers": controllersEach, "gang_size": plan.gang}
+		"finished_before": plan.finishedADay / n, "controllers": controllersEach}
 }
 
 // sizeOf is how large the profile of a sweep is.
 func sizeOf(p *Profile) size {
-	s := size{"workers": float64(p.Workers), "tasks_running": float64(p.TasksRunning), "starts_per_s": p.Starts.PerS, "teams": float64(p.Teams),
+	return size{"workers": float64(p.Workers), "tasks_running": float64(p.TasksRunning), "starts_per_s": p.Starts.PerS, "teams": float64(p.Teams),
 		"finished_before": float64(p.FinishedBefore), "controllers": float64(p.ControllersIn)}
-	return s
 }
 
 // series are the things that are varied, in the order of the tables.
@@ -100,21 +98,18 @@
 // knowing them.
 func estimated(stored map[string][]Measured, at, base size, figure string) (estimate, error) {
 	var e estimate
-	n := 0.0
+	lines := map[string]Line{}
 	for _, vary := range series {
 		l, err := lineOf(stored["sweep"], vary, figure)
 		if err != nil {
 			return e, err
 		}
+		lines[vary] = l
 		e.value += l.At(base[vary])
-		n++
 	}
-	e.value /= n
+	e.value /= float64(len(series))
 	for _, vary := range series {
-		l, err := lineOf(stored["sweep"], vary, figure)
-		if err != nil {
-			return e, err
-		}
+		l := lines[vary]
 		if l.B < 2*l.ErrB || vary == "finished_before" && !isMemory(figure) {
 			continue
 		}
