--- a/review/play/main.go
+++ b/review/play/main.go
@@ -35,8 +35,8 @@
 
 var cases = map[string]caseFunc{
 	"1": taskWithoutNeeds,
-	"2": cancelledOnHungMachine,
-	"3": leftWaiting,
+	"2": leftWaiting,
+	"3": cancelledOnHungMachine,
 }
 
 func main() {
