Reproduce the incident: a copy of an answered start runs a reaped attempt again

The emulator delivers direct commands once more after they were executed and answered (DuplicateCommands), and counts the copies by outcome. The explorer has a step in which a copy of a direct command stays in flight, sets of faults that are explored apart and so deeper, and random walks; steps are built when they are taken.

No behaviour of the program changes.

--- /dev/null
+++ b/internal/emulator/command_copies.go
@@ -0,0 +1,99 @@
+package emulator
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"fieldhill/wire"
+)
+
+// minCommandCopyDelay is the minimum delay of the copy of a direct command.
+const minCommandCopyDelay = 300 * time.Millisecond
+
+// commandCopier emulates a network that delivers direct commands once more after the machine executed and answered
+// them.
+type commandCopier struct {
+	ctx context.Context // context of the environment
+
+	mu          sync.Mutex
+	rng         *rand.Rand
+	probability float64
+	maxDelay    time.Duration
+	counts      CommandCopyCounts
+}
+
+// CommandCopyCounts counts the copies of direct commands that reached machines.
+type CommandCopyCounts struct {
+	Executed int // accepted by the machine
+	Rejected int // rejected because of their fencing token or epoch
+}
+
+// DuplicateCommands sets the probability that a direct command is delivered once more after it was executed and
+// answered, and the maximum delay of the second delivery.
+func (c *commandCopier) DuplicateCommands(probability float64, maxDelay time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.probability, c.maxDelay = probability, maxDelay
+}
+
+// CommandCopies returns the number of copies that reached machines so far.
+func (c *commandCopier) CommandCopies() CommandCopyCounts {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.counts
+}
+
+// maybeDuplicate delivers commands to a machine a second time with the probability set by DuplicateCommands.
+func (c *commandCopier) maybeDuplicate(worker *Worker, batch *wire.CommandBatch) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.probability == 0 || c.rng.Float64() >= c.probability {
+		return
+	}
+	delay := minCommandCopyDelay + time.Duration(c.rng.Float64()*float64(c.maxDelay-minCommandCopyDelay))
+	go func() {
+		select {
+		case <-c.ctx.Done():
+		case <-time.After(delay):
+			c.deliver(worker, batch)
+		}
+	}()
+}
+
+// deliver delivers the copy of a command, and counts it by its outcome.
+func (c *commandCopier) deliver(worker *Worker, batch *wire.CommandBatch) {
+	delivered, executed := worker.receiveCopy(batch)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	switch {
+	case executed:
+		c.counts.Executed++
+	case delivered:
+		c.counts.Rejected++
+	}
+}
+
+// receiveCopy executes the copy of a command that the machine has executed before, if token and epoch still match. The
+// copy is lost if the machine was deleted or is in an inbound partition. It is also lost if the agent was restarted with
+// its counters reset and has not been answered since: no controller can prevent its execution then.
+func (w *Worker) receiveCopy(batch *wire.CommandBatch) (delivered, executed bool) {
+	w.lockWhenNotHung()
+	defer w.mu.Unlock()
+	if w.terminated || w.inboundPartitioned || w.fencingToken == 0 {
+		return false, false
+	}
+	w.advance()
+	return true, w.executeIfValid(batch)
+}
+
+// executeIfValid executes direct commands, unless a higher token was seen or they were sent for another epoch.
+func (w *Worker) executeIfValid(batch *wire.CommandBatch) (executed bool) {
+	if batch.FencingToken < w.fencingToken || batch.AgentEpoch != w.epoch {
+		return false
+	}
+	w.fencingToken = batch.FencingToken
+	w.execute(batch.Commands)
+	return true
+}
--- a/internal/emulator/environment.go
+++ b/internal/emulator/environment.go
@@ -17,7 +17,7 @@
 const defaultFetchDuration = 1500 * time.Millisecond
 
 // Environment is a whole deployment: controllers, and emulators of the services, machines and users that they interact
-// with. The embedded types implement the behavior of controllers, users, heartbeat copies and tasks, each with its own
+// with. The embedded types implement the behavior of controllers, users, message copies and tasks, each with its own
 // state; their exported methods are part of the environment's API.
 type Environment struct {
 	Network *Network // nil unless the in-memory network is used
@@ -29,6 +29,7 @@
 	*controllerGroup
 	*userGroup
 	*heartbeatCopier
+	*commandCopier
 	*taskBehavior
 	gangs *gangRegistry
 
@@ -164,6 +165,7 @@
 		controllers: e.controllerGroup,
 		random:      e.random,
 	}
+	e.commandCopier = &commandCopier{ctx: ctx, rng: rand.New(rand.NewPCG(seed, 3))}
 	if err := e.Store.Serve(ctx, networkOf("state"), addresses.Store); err != nil {
 		return nil, err
 	}
--- a/internal/emulator/worker_heartbeats.go
+++ b/internal/emulator/worker_heartbeats.go
@@ -89,11 +89,10 @@
 	defer w.mu.Unlock()
 	code := http.StatusOK
 	w.advance() //nolint:contextcheck // a cancellation by a user is independent of the machine's context
-	if batch.FencingToken < w.fencingToken || batch.AgentEpoch != w.epoch {
-		code = http.StatusConflict
+	if w.executeIfValid(&batch) {
+		w.environment.commandCopier.maybeDuplicate(w, &batch) //nolint:contextcheck // as in heartbeatLoop
 	} else {
-		w.fencingToken = batch.FencingToken
-		w.execute(batch.Commands)
+		code = http.StatusConflict
 	}
 	respond(rw, code, w.buildHeartbeat())
 }
@@ -109,12 +108,9 @@
 		time.Sleep(delay)
 		w.mu.Lock()
 		defer w.mu.Unlock()
-		if w.terminated || w.inboundPartitioned || w.incarnation != incarnation ||
-			batch.FencingToken < w.fencingToken || batch.AgentEpoch != w.epoch {
-			return
+		if !w.terminated && !w.inboundPartitioned && w.incarnation == incarnation {
+			w.executeIfValid(batch)
 		}
-		w.fencingToken = batch.FencingToken
-		w.execute(batch.Commands)
 	}()
 }
 
@@ -155,7 +151,7 @@
 			w.mu.Unlock()
 		default:
 			//nolint:contextcheck // the delivery of a duplicate is independent of the machine's context
-			w.environment.maybeDuplicate(attempt.controllerAddr, attempt.heartbeat)
+			w.environment.heartbeatCopier.maybeDuplicate(attempt.controllerAddr, attempt.heartbeat)
 			w.sendHeartbeat(ctx, client, attempt, &next)
 		}
 	}
--- a/internal/model/delivery_order_test.go
+++ b/internal/model/delivery_order_test.go
@@ -37,6 +37,33 @@
 	// The end of an attempt is logged and the attempt is reaped although a start of it may be in flight, and nothing
 	// fences that start.
 	reapsEarly
+	// An attempt whose start was answered is reaped under the token of that start, so that a copy of the start runs the
+	// attempt again.
+	reapsUnderStartToken
+)
+
+// faultSet is the set of faults that an exploration injects. A smaller set has fewer interleavings and is explored to a
+// greater depth.
+type faultSet uint
+
+const (
+	lostMessages   faultSet = 1 << iota // the sender stops waiting for a response, or a response is lost
+	copiedReports                       // copies of reports arrive
+	copiedCommands                      // copies of direct commands arrive after the commands were answered
+	probes                              // the leader probes the agent
+	restarts                            // the agent restarts
+	leaseExpiry
+	failover
+
+	withoutCommandCopies = lostMessages | copiedReports | probes | restarts | leaseExpiry | failover
+	allFaults            = withoutCommandCopies | copiedCommands
+)
+
+const (
+	maxCopies  = 2 // copies of direct commands
+	maxReports = 3 // reports kept, of which copies may arrive
+	// maxCopiedCommandsDepth is the maximum depth of TestCopiedCommandsNeverStartTaskTwice.
+	maxCopiedCommandsDepth = 24
 )
 
 // inFlightMessage is a message from a leader that the agent has not received yet.
@@ -52,6 +79,8 @@
 // exploredState is the combined state of the agent, the network and the leader.
 type exploredState struct {
 	mutation      mutation
+	faults        faultSet
+	copies        int    // copies of direct commands made
 	model         *Model // of the leader
 	incarnation   uint64 // of the agent, like the following fields up to exited
 	epoch         uint64
@@ -97,7 +126,7 @@
 	}
 	for _, x := range []uint64{
 		w.incarnation, w.epoch, w.seq, w.token, w.agentAttempt, w.earlyReaped, uint64(w.awaitedReport),
-		uint64(w.terms), uint64(w.leaseExpiries), w.model.MinToken,
+		uint64(w.terms), uint64(w.leaseExpiries), uint64(w.copies), w.model.MinToken,
 	} {
 		b = binary.AppendUvarint(b, x)
 	}
@@ -112,6 +141,8 @@
 	return string(fmt.Appendf(b, "%+v", w.probe))
 }
 
+func (w exploredState) allows(fault faultSet) bool { return w.faults&fault != 0 }
+
 func (w exploredState) Violation() string { return w.violation }
 
 // report returns the agent's next report, with a new sequence number. It lists the attempt on the machine, if there is
@@ -201,7 +232,7 @@
 	m := New(params())
 	applyAll(t, m, NewMachineType(testType()), NewMachine(1, 0, testInfo("host-1")), NewAcceptance(testSpec(7, 1), 0))
 	m.BeginTerm(3<<24, 0)
-	w := exploredState{mutation: injected, model: m, epoch: 1, incarnation: 1, token: 3 << 24}
+	w := exploredState{mutation: injected, faults: allFaults, model: m, epoch: 1, incarnation: 1, token: 3 << 24}
 	w.observe(w.report(), m.BeginProbe(m.MachinesInOrder[0]))
 	if err := m.Apply(NewPlacement(7, 0, 1, 1, 1), 4, 0); err != nil {
 		t.Fatal(err)
@@ -217,7 +248,7 @@
 	for _, name := range names {
 		for _, s := range w.NextSteps() {
 			if s.Name == name {
-				w = s.To.(exploredState)
+				w = s.Take().(exploredState)
 				continue next
 			}
 		}
@@ -241,27 +272,58 @@
 	for _, c := range []struct {
 		mutation         mutation
 		setup            []string
+		faults           faultSet
 		depth, maxStates int
 		relay            bool
 	}{
-		{noMutation, nil, 20, 20_000, false},
-		{noMutation, duplicateStartDelayed, 20, 20_000, false},
-		{copyTakenAsResponse, nil, 12, 60_000, false},
-		{responseNotAwaited, nil, 12, 60_000, false},
-		{unansweredStartIgnored, nil, 12, 60_000, false},
-		{anyEpochTrusted, nil, 14, 150_000, false},
-		{reapsEarly, duplicateStartDelayed, 14, 60_000, false},
-		{noMutation, nil, 20, 30_000, true},
-		{noMutation, duplicateStartDelayed, 20, 30_000, true},
-		{relayForwardsLateResponse, nil, 16, 60_000, true},
+		{noMutation, nil, allFaults, 20, 20_000, false},
+		{noMutation, duplicateStartDelayed, allFaults, 20, 20_000, false},
+		{copyTakenAsResponse, nil, withoutCommandCopies, 12, 60_000, false},
+		{responseNotAwaited, nil, withoutCommandCopies, 12, 60_000, false},
+		{unansweredStartIgnored, nil, withoutCommandCopies, 12, 60_000, false},
+		{anyEpochTrusted, nil, withoutCommandCopies, 14, 150_000, false},
+		{reapsEarly, duplicateStartDelayed, withoutCommandCopies, 14, 60_000, false},
+		{noMutation, nil, allFaults, 20, 30_000, true},
+		{noMutation, duplicateStartDelayed, allFaults, 20, 30_000, true},
+		{relayForwardsLateResponse, nil, withoutCommandCopies, 16, 60_000, true},
 	} {
 		w := followSteps(t, newExploredState(t, c.mutation), c.setup...)
-		w.relay = c.relay
-		r := modelcheck.Explore(w, c.depth, c.maxStates)
-		if found := r.Violation != ""; found != (c.mutation != noMutation) {
-			t.Errorf("mutation %d: got %s, want a violation: %v", c.mutation, r, c.mutation != noMutation)
-		} else {
-			t.Logf("mutation %d: %s", c.mutation, r)
-		}
+		w.relay, w.faults = c.relay, c.faults
+		checkExploration(t, c.mutation, modelcheck.Explore(w, c.depth, c.maxStates))
+	}
+}
+
+// checkExploration fails the test if an exploration with a mutation finds no violation, or one without a mutation finds
+// one.
+func checkExploration(t *testing.T, injected mutation, r *modelcheck.Result) {
+	t.Helper()
+	if found := r.Violation != ""; found != (injected != noMutation) {
+		t.Errorf("mutation %d: got %s, want a violation: %v", injected, r, injected != noMutation)
+	} else {
+		t.Logf("mutation %d: %s", injected, r)
+	}
+}
+
+// TestCopiedCommandsNeverStartTaskTwice explores copies of direct commands that arrive after the commands were
+// answered, from the placement of the task on. Without the other faults, the orders are explored to a greater depth;
+// random walks combine the copies with all faults.
+func TestCopiedCommandsNeverStartTaskTwice(t *testing.T) {
+	for _, c := range []struct {
+		mutation  mutation
+		faults    faultSet
+		maxStates int
+	}{
+		{noMutation, copiedCommands, 40_000},
+		{noMutation, copiedCommands | failover, 40_000},
+		{noMutation, copiedCommands | restarts, 40_000},
+		{noMutation, copiedCommands | lostMessages, 40_000},
+		{reapsUnderStartToken, copiedCommands, 40_000},
+	} {
+		w := newExploredState(t, c.mutation)
+		w.faults = c.faults
+		checkExploration(t, c.mutation, modelcheck.Explore(w, maxCopiedCommandsDepth, c.maxStates))
+	}
+	for _, injected := range []mutation{noMutation, reapsUnderStartToken} {
+		checkExploration(t, injected, modelcheck.Walk(newExploredState(t, injected), 1, 20_000, 30))
 	}
 }
--- a/internal/model/delivery_steps_test.go
+++ b/internal/model/delivery_steps_test.go
@@ -30,9 +30,11 @@
 }
 
 func (s *stepList) add(name string, change func(w *exploredState)) {
-	n := s.from.clone()
-	change(&n)
-	s.list = append(s.list, modelcheck.Step{Name: name, To: n})
+	s.list = append(s.list, modelcheck.Step{Name: name, Take: func() modelcheck.State {
+		next := s.from.clone()
+		change(&next)
+		return next
+	}})
 }
 
 // machine returns the only machine of the model.
@@ -40,21 +42,29 @@
 
 // addReports adds steps in which the agent sends a report, and in which a report or a copy of it arrives.
 func (s *stepList) addReports() {
-	if s.from.awaitedReport == 0 && len(s.from.reports) < 3 {
+	copied := s.from.allows(copiedReports)
+	if s.from.awaitedReport == 0 && (!copied || len(s.from.reports) < maxReports) {
 		s.add("the agent reports", func(w *exploredState) {
+			if !copied {
+				w.reports = nil // earlier reports cannot arrive any more
+			}
 			w.reports = append(w.reports, *w.report())
 			w.awaitedReport = len(w.reports)
 		})
 	}
 	for i := range s.from.reports {
 		if s.from.awaitedReport != i+1 {
-			s.add(fmt.Sprint("a copy of report ", i, " arrives"), func(w *exploredState) {
-				w.observeCopy(w.reports[i])
-			})
+			if copied {
+				s.add(fmt.Sprint("a copy of report ", i, " arrives"), func(w *exploredState) {
+					w.observeCopy(w.reports[i])
+				})
+			}
 			continue
 		}
 		s.add(fmt.Sprint("report ", i, " arrives"), func(w *exploredState) { w.respondToReport(&w.reports[i]) })
-		s.add("the agent abandons its report", func(w *exploredState) { w.awaitedReport = 0 })
+		if s.from.allows(lostMessages) {
+			s.add("the agent abandons its report", func(w *exploredState) { w.awaitedReport = 0 })
+		}
 		if s.from.relay && s.from.relayedReport == 0 {
 			s.add(fmt.Sprint("a relay responds to report ", i), func(w *exploredState) {
 				w.awaitedReport, w.relayedReport = 0, i+1
@@ -109,7 +119,7 @@
 	if s.from.relayedReport != 0 {
 		s.add(fmt.Sprint("report ", s.from.relayedReport-1, " arrives from the relay"), (*exploredState).observeRelayed)
 	}
-	if s.from.awaitedReport == -1 {
+	if s.from.awaitedReport == -1 && s.from.allows(lostMessages) {
 		s.add("the response is lost", func(w *exploredState) {
 			w.inFlight = slices.DeleteFunc(w.inFlight, func(u inFlightMessage) bool { return u.isResponse })
 			w.awaitedReport = 0
@@ -134,6 +144,9 @@
 
 // addProbe adds steps in which the leader probes the agent and in which the agent responds.
 func (s *stepList) addProbe() {
+	if !s.from.allows(probes) {
+		return
+	}
 	if s.from.probe == nil {
 		s.add("the leader probes", func(w *exploredState) { w.probe = w.model.BeginProbe(w.machine()) })
 		return
@@ -154,7 +167,12 @@
 			message = "the response"
 		}
 		s.add(fmt.Sprintf("%s of term %d arrives", message, u.term>>24), func(w *exploredState) { w.deliver(i) })
-		if u.senderWaits {
+		if s.from.allows(copiedCommands) && !u.isResponse && s.from.copies < maxCopies {
+			s.add(fmt.Sprintf("%s of term %d arrives and is copied", message, u.term>>24), func(w *exploredState) {
+				w.deliverAndCopy(i)
+			})
+		}
+		if u.senderWaits && s.from.allows(lostMessages) {
 			s.add("the leader abandons a command", func(w *exploredState) { w.abandon(i) })
 		}
 	}
@@ -181,6 +199,15 @@
 	}
 }
 
+// deliverAndCopy passes a direct command to the agent, and leaves a copy of it in flight.
+func (w *exploredState) deliverAndCopy(i int) {
+	u := w.inFlight[i]
+	w.deliver(i)
+	u.senderWaits, u.probe = false, nil
+	w.copies++
+	w.inFlight = append(w.inFlight, u)
+}
+
 // abandon simulates that the leader stops waiting for the response to a command.
 func (w *exploredState) abandon(i int) {
 	u := &w.inFlight[i]
@@ -198,7 +225,7 @@
 func (s *stepList) addDirectCommand() {
 	term := s.from.model.MinToken
 	isAwaited := func(u inFlightMessage) bool { return u.senderWaits && u.term == term }
-	if !s.from.machine().Contact.Reported || len(s.from.inFlight) >= 2 ||
+	if !s.from.machine().Contact.Reported || len(s.from.inFlight) >= 2+s.from.copies ||
 		slices.ContainsFunc(s.from.inFlight, isAwaited) {
 		return
 	}
@@ -250,7 +277,7 @@
 	if s.from.agentAttempt != 0 && !s.from.exited {
 		s.add("the task ends by itself", func(w *exploredState) { w.exited = true })
 	}
-	if s.from.incarnation < 2 {
+	if s.from.incarnation < 2 && s.from.allows(restarts) {
 		for _, resetNumbers := range []bool{false, true} {
 			s.add(fmt.Sprint("the agent restarts, numbers reset ", resetNumbers), func(w *exploredState) {
 				w.incarnation, w.agentAttempt, w.exited, w.awaitedReport = w.incarnation+1, 0, false, 0
@@ -260,7 +287,7 @@
 			})
 		}
 	}
-	if s.from.leaseExpiries == 0 {
+	if s.from.leaseExpiries == 0 && s.from.allows(leaseExpiry) {
 		s.add("the agent's lease expires", func(w *exploredState) {
 			w.leaseExpiries, w.epoch, w.agentAttempt, w.exited = 1, w.epoch+1, 0, false
 		})
@@ -269,7 +296,7 @@
 
 // addFailover adds the step in which another node is elected.
 func (s *stepList) addFailover() {
-	if s.from.terms == 0 {
+	if s.from.terms == 0 && s.from.allows(failover) {
 		s.add("another node is elected", func(w *exploredState) {
 			w.terms++
 			w.probe = nil
--- a/internal/replication/singleton/modelcheck_test.go
+++ b/internal/replication/singleton/modelcheck_test.go
@@ -269,9 +269,12 @@
 // NextSteps returns the steps that can follow the state.
 func (s modelState) NextSteps() (list []modelcheck.Step) {
 	step := func(name string, f func(s *modelState)) {
-		next := s.clone()
-		f(&next)
-		list = append(list, modelcheck.Step{Name: fmt.Sprintf("at %d: %s", s.now, name), To: next})
+		take := func() modelcheck.State {
+			next := s.clone()
+			f(&next)
+			return next
+		}
+		list = append(list, modelcheck.Step{Name: fmt.Sprintf("at %d: %s", s.now, name), Take: take})
 	}
 	if s.now < 16 {
 		step("time advances", func(s *modelState) {
--- a/internal/testing/modelcheck/modelcheck.go
+++ b/internal/testing/modelcheck/modelcheck.go
@@ -1,11 +1,12 @@
-// Package modelcheck is an explicit-state model checker for small systems. It explores every order of a system's steps
-// to a given depth, breadth first, so that the first violation found has a trace of minimal length. A system models the
-// environment of production code without I/O and calls that code the way the service does. Only tests import this
-// package.
+// Package modelcheck is an explicit-state model checker for small systems. Explore visits every order of a system's
+// steps to a given depth, breadth first, so that the first violation found has a trace of minimal length. Walk takes
+// random steps, and reaches orders that are too long for Explore. A system models the environment of production code
+// without I/O and calls that code the way the service does. Only tests import this package.
 package modelcheck
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"slices"
 	"strings"
 )
@@ -23,13 +24,13 @@
 // Step is a transition to another state.
 type Step struct {
 	Name string
-	To   State
+	Take func() State // returns the state after the step
 }
 
 // Result is the outcome of an exploration.
 type Result struct {
-	States    int      // distinct states visited
-	Depth     int      // depth to which all states were visited
+	States    int      // distinct states visited by Explore
+	Depth     int      // depth to which Explore visited all states
 	Exhausted bool     // all reachable states were visited, regardless of depth
 	Violation string   // violation of the first violating state; "" if there is none
 	Trace     []string // names of the steps from the start to that state
@@ -94,19 +95,55 @@
 	return r
 }
 
+// Walk takes up to maxSteps random steps from the start, and repeats this the given number of times. The seed determines
+// all steps. It stops at the first violation. In the result, States is the number of steps taken and Depth that of the
+// longest walk.
+func Walk(start State, seed uint64, walks, maxSteps int) *Result {
+	rng := rand.New(rand.NewPCG(seed, 0))
+	r := &Result{}
+	for range walks {
+		r.walk(start, rng, maxSteps)
+		if r.Violation != "" {
+			break
+		}
+	}
+	return r
+}
+
+// walk takes up to maxSteps random steps from a state.
+func (r *Result) walk(state State, rng *rand.Rand, maxSteps int) {
+	var trace []string
+	for range maxSteps {
+		steps := state.NextSteps()
+		if len(steps) == 0 {
+			return
+		}
+		step := steps[rng.IntN(len(steps))]
+		state = step.Take()
+		trace = append(trace, step.Name)
+		r.States++
+		r.Depth = max(r.Depth, len(trace))
+		if r.Violation = state.Violation(); r.Violation != "" {
+			r.Trace = trace
+			return
+		}
+	}
+}
+
 // expand takes every step from the states of one depth. It returns the newly reached states, or reports that the
 // exploration has stopped, in which case the result is complete.
 func (e *explorer) expand(frontier []frontierState) (next []frontierState, stopped bool) {
 	for _, from := range frontier {
 		for _, step := range from.state.NextSteps() {
-			key := step.To.Key()
+			to := step.Take()
+			key := to.Key()
 			if e.seen[key] {
 				continue
 			}
 			e.seen[key] = true
 			index := int32(len(e.predecessors))
 			e.predecessors = append(e.predecessors, predecessor{from.index, step.Name})
-			e.result.Violation = step.To.Violation()
+			e.result.Violation = to.Violation()
 			if e.result.Violation != "" {
 				e.result.Trace = e.trace(index)
 			}
@@ -114,7 +151,7 @@
 				e.result.States = len(e.seen)
 				return nil, true
 			}
-			next = append(next, frontierState{step.To, index})
+			next = append(next, frontierState{to, index})
 		}
 	}
 	return next, false
