Reap an attempt only under a token above those of its starts

Cause: a start that was answered counted as no longer in flight, and its attempt was reaped under the same token. After the reap the agent no longer knows the attempt, so a copy of the start, whose token and epoch still match, runs it again. Class: an answer taken for proof that the message will not arrive again; the check was made for starts without an answer and not for the others.

Why it works: the leader keeps the highest token under which a start of an attempt was sent, by any path. A reap that would carry no higher token raises it, in direct commands only; the agent takes the token before it executes the reap, so whatever copy comes later is refused. Only one direct command is in flight at a time, so none is refused for the raise; a response leaves such a reap to a direct command. A command refused because the token was raised meanwhile is sent again at once.

--- a/internal/controller/command_dispatcher.go
+++ b/internal/controller/command_dispatcher.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"fieldhill/internal/agents/staleness"
+	"fieldhill/internal/metrics"
 	"fieldhill/internal/model"
 	"fieldhill/internal/platform/agent"
 	"fieldhill/internal/replication/candidacy"
@@ -64,7 +65,11 @@
 		delete(term.dispatch.dirtyMachines, machine)
 		return
 	}
+	offset := machine.Contact.TokenOffset
 	commands := cd.replica.model.Commands(machine, term.commits.committedSeq, false)
+	if machine.Contact.TokenOffset > offset {
+		cd.metrics.ReapFences.Inc()
+	}
 	// Commands that depend on uncommitted entries are sent after the commit. If the machine stayed in dirtyMachines,
 	// every maintenance run would send it the same commands again.
 	delete(term.dispatch.dirtyMachines, machine)
@@ -77,13 +82,14 @@
 	cd.send(term, machine, commands)
 }
 
-// directCommand records the commands sent to a machine, and the token and term under which they were sent, until the
-// outcome is processed.
+// directCommand records the commands sent to a machine, and the term, token and agent epoch under which they were sent,
+// until the outcome is processed.
 type directCommand struct {
 	term     *leaderTerm
 	machine  *model.Machine
 	commands []wire.Command
 	token    uint64
+	epoch    uint64
 	baseline *staleness.ProbeBaseline // which messages from the agent had been received when the command was sent
 }
 
@@ -91,12 +97,13 @@
 func (cd *commandDispatcher) send(term *leaderTerm, machine *model.Machine, commands []wire.Command) {
 	sent := &directCommand{
 		term: term, machine: machine, commands: commands,
-		token: cd.replica.model.Token(machine), baseline: cd.replica.model.BeginProbe(machine),
+		token: cd.replica.model.Token(machine), epoch: machine.Contact.AgentEpoch,
+		baseline: cd.replica.model.BeginProbe(machine),
 	}
 	cd.replica.model.StartsSent(machine, commands, sent.token)
 	machine.Contact.DirectInFlight = true
 	term.leadership.timeline.Mark(candidacy.FirstCommand, cd.now())
-	batch := &wire.CommandBatch{FencingToken: sent.token, AgentEpoch: machine.Contact.AgentEpoch, Commands: commands}
+	batch := &wire.CommandBatch{FencingToken: sent.token, AgentEpoch: sent.epoch, Commands: commands}
 	addr, via := machine.Info.Addr, cd.assignments.relayFor(machine)
 	go func() {
 		outcome, report, err := cd.assignments.sendCommands(term.ctx, via, addr, batch)
@@ -127,6 +134,7 @@
 		machine.Contact.DirectFailed = true
 	case agent.Refused:
 		cd.replica.model.StartsAnswered(machine, sent.commands, sent.token, false)
+		cd.onRefused(sent, report)
 	case agent.Executed:
 		sent.term.leadership.timeline.Mark(candidacy.FirstExecution, cd.now())
 		cd.replica.model.StartsAnswered(machine, sent.commands, sent.token, true)
@@ -139,6 +147,32 @@
 	}
 }
 
+// refusalReason returns why an agent refused a direct command. report is its response, or nil if that has no status
+// report. currentToken is the machine's present token.
+func (sent *directCommand) refusalReason(report *wire.Heartbeat, currentToken uint64) metrics.RefusalReason {
+	switch {
+	case report == nil:
+		return metrics.RefusedOther
+	case report.AgentEpoch != sent.epoch:
+		return metrics.RefusedEpoch
+	case report.FencingToken > currentToken:
+		return metrics.RefusedLaterTerm
+	case report.FencingToken > sent.token:
+		return metrics.RefusedToken
+	}
+	return metrics.RefusedOther
+}
+
+// onRefused counts a refused direct command. If it was refused only because this leader raised the machine's token
+// after it was sent, the machine is marked for commands, so that they are sent again at once under the raised token.
+func (cd *commandDispatcher) onRefused(sent *directCommand, report *wire.Heartbeat) {
+	reason := sent.refusalReason(report, cd.replica.model.Token(sent.machine))
+	cd.metrics.CommandsRefused[reason].Inc()
+	if reason == metrics.RefusedToken {
+		cd.markForCommands(sent.machine)
+	}
+}
+
 // onProbedAfterUnknownOutcome marks a machine as inbound partitioned if its agent responded neither to a command, whose
 // outcome is therefore unknown, nor to the probe that followed the command. Heartbeats from the agent may still arrive.
 func (cd *commandDispatcher) onProbedAfterUnknownOutcome(sent *directCommand) {
--- a/internal/controller/fault_pairs_test.go
+++ b/internal/controller/fault_pairs_test.go
@@ -213,8 +213,8 @@
 }
 
 // TestFaultPairs injects random pairs of faults, the second beginning within a second of the beginning or the end of
-// the first, and restarts controllers in between, while users submit, poll and cancel jobs. All invariants must hold,
-// no job may be lost, and the cluster must recover.
+// the first, and restarts controllers in between, while users submit, poll and cancel jobs and copies of answered
+// commands arrive. All invariants must hold, no job may be lost, and the cluster must recover.
 func TestFaultPairs(t *testing.T) {
 	defer func() { compactEvery = 0 }()
 	seenPairs := map[string]bool{}
@@ -239,6 +239,7 @@
 func runFaultPairs(t *testing.T, w *emulator.Environment, rng *rand.Rand) (pairs []string) {
 	t.Helper()
 	w.Store.SetRateLimits(w.Params.KVStore.RPS, w.Params.KVStore.WriteRPS)
+	w.DuplicateCommands(commandCopyShare, maxCommandCopyDelay)
 	teamsAtQuota := rng.IntN(3) == 0
 	startServices(w, 3)
 	done := make(chan struct{})
@@ -256,6 +257,7 @@
 		w.RefuseStore(k, false)
 	}
 	checkConvergence(t, w, ids)
+	checkCommandCopies(t, w)
 	return pairs
 }
 
--- a/internal/controller/heartbeats.go
+++ b/internal/controller/heartbeats.go
@@ -119,9 +119,13 @@
 	if !hb.leases.mayRenew() {
 		return result.NoLeader{}
 	}
+	committed := hb.term.ownTerm.commits.committedSeq
+	commands := hb.replica.model.Commands(machine, committed, true)
+	if hb.replica.model.NeedsDirectReap(machine, committed) {
+		hb.dispatch.markForCommands(machine)
+	}
 	token := hb.replica.model.Token(machine)
 	machine.Contact.Reports.RecordResponse(token)
-	commands := hb.replica.model.Commands(machine, hb.term.ownTerm.commits.committedSeq, true)
 	return hb.leases.renew(machine.Info.Name, token, commands)
 }
 
--- a/internal/controller/random_faults_test.go
+++ b/internal/controller/random_faults_test.go
@@ -34,10 +34,11 @@
 	}
 }
 
-// TestRandomFaults injects faults of the emulator, at random but with fixed seeds, and checks that the invariants hold
-// and that the deployment converges afterwards. Every other seed compacts the log every ten batches: with the default
-// interval, most runs would not compact it at all, and would not detect faults such as a compaction that deletes too
-// much after a failover. Half of the seeds distribute the singleton roles, and two of three assign agents to relays.
+// TestRandomFaults injects faults of the emulator, at random but with fixed seeds, among them copies of direct commands
+// that arrive after the commands were answered. It checks that the invariants hold and that the deployment converges
+// afterwards. Every other seed compacts the log every ten batches: with the default interval, most runs would not
+// compact it at all, and would not detect faults such as a compaction that deletes too much after a failover. Half of
+// the seeds distribute the singleton roles, and two of three assign agents to relays.
 func TestRandomFaults(t *testing.T) {
 	savedThreshold := *relayThreshold
 	defer func() { compactEvery, distributedRoles, *relayThreshold = 0, false, savedThreshold }()
@@ -65,6 +66,7 @@
 	t.Helper()
 	endBackground := backgroundFaults(w, rand.New(rand.NewPCG(rng.Uint64(), 10)))
 	w.SetFaults(0.1, 20*time.Second)
+	w.DuplicateCommands(commandCopyShare, maxCommandCopyDelay)
 	// The store enforces the rate limits, because a restarted controller does not know how much of its rate the
 	// ended process has used.
 	w.Store.SetRateLimits(w.Params.KVStore.RPS, w.Params.KVStore.WriteRPS)
@@ -87,6 +89,7 @@
 	endBackground()
 	run.endFaults()
 	checkConvergence(t, w, run.open)
+	checkCommandCopies(t, w)
 }
 
 // submit submits a random job without waiting for the response.
@@ -224,7 +227,7 @@
 }
 
 // endFaults ends the lasting faults that the steps of the run have injected, except that the tasks of jobs chosen by
-// failJob continue to fail. It starts all stopped controllers.
+// failJob continue to fail. Copies of commands continue to arrive. It starts all stopped controllers.
 func (r *randomRun) endFaults() {
 	r.w.SetFaults(0, 0)
 	r.w.Store.SetOutage(false)
--- a/internal/emulator/command_copies.go
+++ b/internal/emulator/command_copies.go
@@ -31,7 +31,7 @@
 }
 
 // DuplicateCommands sets the probability that a direct command is delivered once more after it was executed and
-// answered, and the maximum delay of the second delivery.
+// answered, and the maximum delay of the second delivery. Short delays are more frequent than long ones.
 func (c *commandCopier) DuplicateCommands(probability float64, maxDelay time.Duration) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -52,7 +52,8 @@
 	if c.probability == 0 || c.rng.Float64() >= c.probability {
 		return
 	}
-	delay := minCommandCopyDelay + time.Duration(c.rng.Float64()*float64(c.maxDelay-minCommandCopyDelay))
+	fraction := c.rng.Float64()
+	delay := minCommandCopyDelay + time.Duration(fraction*fraction*float64(c.maxDelay-minCommandCopyDelay))
 	go func() {
 		select {
 		case <-c.ctx.Done():
@@ -76,8 +77,8 @@
 }
 
 // receiveCopy executes the copy of a command that the machine has executed before, if token and epoch still match. The
-// copy is lost if the machine was deleted or is in an inbound partition. It is also lost if the agent was restarted with
-// its counters reset and has not been answered since: no controller can prevent its execution then.
+// copy is lost if the machine was deleted or is in an inbound partition. It is also lost if the agent was restarted
+// with its counters reset and has not been answered since: no controller can prevent its execution then.
 func (w *Worker) receiveCopy(batch *wire.CommandBatch) (delivered, executed bool) {
 	w.lockWhenNotHung()
 	defer w.mu.Unlock()
--- a/internal/metrics/golden_test.go
+++ b/internal/metrics/golden_test.go
@@ -26,6 +26,10 @@
 	r.Reassigned.Set(109)
 	r.NotAdmitted.Set(110)
 	r.LogBytes.Set(111)
+	r.ReapFences.Set(112)
+	for reason := range refusalReasonCount {
+		r.CommandsRefused[reason].Set(113 + uint64(reason))
+	}
 	r.SchedulingRound.Update(0.0625)
 	r.LogWrite.Update(0.03125)
 	for phase := range candidacy.PhaseCount {
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -44,6 +44,11 @@
 	Relayed, AnsweredLocally, Reassigned *metrics.Counter
 	// NotAdmitted counts new jobs that were rejected because this controller was overloaded.
 	NotAdmitted *metrics.Counter
+	// ReapFences counts the direct commands whose fencing token was raised so that agents forget attempts only under a
+	// token above those of the attempts' starts, and CommandsRefused the direct commands that agents refused, by
+	// reason.
+	ReapFences      *metrics.Counter
+	CommandsRefused [refusalReasonCount]*metrics.Counter
 	// LogBytes counts the bytes written to the replicated log.
 	LogBytes *metrics.Counter
 	// SchedulingRound is the duration of a scheduling round, and LogWrite that of writing a batch of the log to the
@@ -59,6 +64,23 @@
 	ok, rejected, retryable *metrics.Counter
 }
 
+// RefusalReason is why an agent refused a direct command.
+type RefusalReason int
+
+// Reasons for refused direct commands.
+const (
+	RefusedToken     RefusalReason = iota // the leader raised the machine's token after it had sent the command
+	RefusedLaterTerm                      // the agent has seen a token of a later term
+	RefusedEpoch                          // the command was sent for another agent epoch
+	RefusedOther                          // the response does not tell
+	refusalReasonCount
+)
+
+// String returns the value of the label.
+func (r RefusalReason) String() string {
+	return [refusalReasonCount]string{"token", "later_term", "epoch", "other"}[r]
+}
+
 // Snapshot is the state of a controller when the page is served. Values that only the leader knows are 0 on other
 // controllers.
 type Snapshot struct {
@@ -126,9 +148,14 @@
 		Reassigned:        set.NewCounter("fieldhill_workers_moved_total"),
 		LogBytes:          set.NewCounter("fieldhill_log_bytes_total"),
 		NotAdmitted:       set.NewCounter("fieldhill_jobs_not_admitted_total"),
+		ReapFences:        set.NewCounter("fieldhill_reap_fences_total"),
 		SchedulingRound:   set.NewPrometheusHistogramExt("fieldhill_round_seconds", bucketBounds),
 		LogWrite:          set.NewPrometheusHistogramExt("fieldhill_log_write_seconds", bucketBounds),
 	}
+	for reason := range refusalReasonCount {
+		name := `fieldhill_commands_refused_total{reason="` + reason.String() + `"}`
+		r.CommandsRefused[reason] = set.NewCounter(name)
+	}
 	for phase := range candidacy.PhaseCount {
 		name := `fieldhill_takeover_seconds{part="` + phase.String() + `"}`
 		r.failovers[phase] = set.NewPrometheusHistogramExt(name, bucketBounds)
--- a/internal/model/clone.go
+++ b/internal/model/clone.go
@@ -69,7 +69,8 @@
 		*o = *machine
 		o.cache, cacheSlab = appendToSlab(cacheSlab, machine.cache)
 		o.fetches, fetchSlab = appendToSlab(fetchSlab, machine.fetches)
-		o.Health.FailedJobs, o.Contact.unresolvedStarts, o.Contact.reapable = nil, nil, nil
+		o.Health.FailedJobs = nil
+		o.Contact.unresolvedStarts, o.Contact.sentStarts, o.Contact.reapable = nil, nil, nil
 		copied.MachinesInOrder[i] = o
 		copied.Machines[o.ID] = o
 	}
--- a/internal/model/machine.go
+++ b/internal/model/machine.go
@@ -78,10 +78,13 @@
 	ProbedAt         Time                   // when the machine was last probed because of a report
 	DirectFailed     bool                   // the last direct command got no response
 	unresolvedStarts map[runKey]startTokens // direct starts that may still be executed
-	reapable         []reapableTask         // attempts listed by the agent that it must forget or stop
-	observationCount uint64                 // number of valid messages
-	lastObservedAt   Time                   // time of the last valid message
-	silenceEndedAt   Time                   // time of the first valid message after the last long silence
+	// Highest token under which a start of an attempt was sent in this term, by any path and whether answered or not,
+	// unless the agent has shown a higher token. Copies of the start may arrive at any later time.
+	sentStarts       map[runKey]uint64
+	reapable         []reapableTask // attempts listed by the agent that it must forget or stop
+	observationCount uint64         // number of valid messages
+	lastObservedAt   Time           // time of the last valid message
+	silenceEndedAt   Time           // time of the first valid message after the last long silence
 }
 
 // MachineHealth records how reliably and how fast a machine has run this leader's tasks. It is not in the log.
--- a/internal/model/model.go
+++ b/internal/model/model.go
@@ -87,6 +87,7 @@
 		contact.SuspectFrom = now
 	}
 	contact.unresolvedStarts = nil
+	contact.sentStarts = nil
 	contact.reapable = nil
 	contact.Renewals = lease.ExpiryProof{}
 	lifecycle.PreemptionAt = 0
--- a/internal/model/term.go
+++ b/internal/model/term.go
@@ -1,6 +1,9 @@
 package model
 
 import (
+	"maps"
+	"slices"
+
 	"fieldhill/internal/agents/staleness"
 	"fieldhill/wire"
 )
@@ -45,6 +48,33 @@
 	}
 }
 
+// mayReap reports whether the agent may be told now to forget an exited attempt. After that, a copy of an earlier start
+// would run the attempt again, so the agent must receive a token above those of all starts of the attempt with the
+// command or before it. If it has none, the token is raised, but only for a direct command: raised in a response, it
+// would make the agent reject direct commands that are in flight.
+func (t *leaderTerm) mayReap(machine *Machine, k runKey, inResponse bool) bool {
+	if !t.reapNeedsRaise(machine, k) {
+		return true
+	}
+	if !inResponse {
+		machine.Contact.TokenOffset++
+	}
+	return !inResponse
+}
+
+// reapNeedsRaise reports whether a start of an attempt was sent under the machine's current token.
+func (t *leaderTerm) reapNeedsRaise(machine *Machine, k runKey) bool {
+	return machine.Contact.sentStarts[k] >= t.Token(machine)
+}
+
+// NeedsDirectReap reports whether the machine holds an exited attempt that it can be told to forget by a direct command
+// but not in a response, because the command needs a raised token.
+func (t *leaderTerm) NeedsDirectReap(machine *Machine, committed uint64) bool {
+	return slices.ContainsFunc(machine.Contact.reapable, func(d reapableTask) bool {
+		return d.exited && d.seq <= committed && t.reapNeedsRaise(machine, d.key)
+	})
+}
+
 // startMayBeInFlight reports whether a direct start of a run may be in flight. If a start got no response,
 // startMayBeInFlight also raises the machine's token: once the agent has seen the new token, it rejects the start in
 // any epoch.
@@ -142,9 +172,9 @@
 	})
 }
 
-// fenceBelow drops the unresolved starts whose tokens are lower than one that the agent has seen, because the agent
-// rejects them.
+// fenceBelow drops the starts whose tokens are lower than one that the agent has seen, because the agent rejects them.
 func (c *MachineContact) fenceBelow(seen uint64) {
+	maps.DeleteFunc(c.sentStarts, func(_ runKey, token uint64) bool { return token < seen })
 	for k, u := range c.unresolvedStarts {
 		if seen > max(u.pending, u.unanswered) {
 			delete(c.unresolvedStarts, k)
@@ -169,6 +199,14 @@
 	return false
 }
 
+// recordSentStart records that a start of an attempt is sent under the given token.
+func (c *MachineContact) recordSentStart(k runKey, token uint64) {
+	if c.sentStarts == nil {
+		c.sentStarts = map[runKey]uint64{}
+	}
+	c.sentStarts[k] = max(c.sentStarts[k], token)
+}
+
 // forEachStart calls f with the attempt of each start command.
 func forEachStart(commands []wire.Command, f func(runKey)) {
 	for _, c := range commands {
--- a/internal/testing/modelcheck/modelcheck.go
+++ b/internal/testing/modelcheck/modelcheck.go
@@ -95,9 +95,9 @@
 	return r
 }
 
-// Walk takes up to maxSteps random steps from the start, and repeats this the given number of times. The seed determines
-// all steps. It stops at the first violation. In the result, States is the number of steps taken and Depth that of the
-// longest walk.
+// Walk takes up to maxSteps random steps from the start, and repeats this the given number of times. The seed
+// determines all steps. Walk stops at the first violation. In the result, States is the number of steps taken and Depth
+// that of the longest walk.
 func Walk(start State, seed uint64, walks, maxSteps int) *Result {
 	rng := rand.New(rand.NewPCG(seed, 0))
 	r := &Result{}
