Fence copies of commands to an earlier incarnation with the first answer

Cause, the class of the incident: the first heartbeat of the new incarnation proves nothing, and was answered under the machine's present token, under which starts had been sent to the earlier incarnation; only the command after the probe carried a raised one. A follower answered under the agent's own token, 0, for as long as the agent came to it.

Evidence: the explorer finds it in 5 steps after an end that is not reaped yet (mutation staleReportNotFenced, which is the code before): the agent restarts, reports, is answered, and the copy starts attempt 1 after its end was logged.

Why it works: the answer to a heartbeat that proves nothing, and shows a lower token than the agent had, carries a token above all starts sent under the present one. Followers renew no agent that has seen no token, so the epoch of the earlier incarnation ends within a lease. TestClearedMachinesOfLargeFleet now sends heartbeats with a token, as agents that hold tasks do.

--- a/internal/controller/command_copies_test.go
+++ b/internal/controller/command_copies_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"fieldhill/internal/emulator"
+	"fieldhill/internal/result"
 	"fieldhill/wire"
 )
 
@@ -105,6 +106,80 @@
 	}
 }
 
+// TestCopiesOfCommandsToRestartedAgents restarts the agents of busy machines within a fraction of a second under their
+// names, with counters that continue or are reset, while copies of the commands to their earlier incarnations arrive.
+// Copies that arrive after the first answer to the new incarnation must not start anything.
+func TestCopiesOfCommandsToRestartedAgents(t *testing.T) {
+	for _, resetCounters := range []bool{false, true} {
+		t.Run(fmt.Sprint("reset counters ", resetCounters), func(t *testing.T) {
+			runCluster(t, 71, func(w *emulator.Environment) {
+				w.Cloud.SetCapacity(3)
+				startServices(w, 1)
+				w.DuplicateCommands(1, maxCommandCopyDelay)
+				for round := range 20 {
+					w.Submit(newHighArray(100+round, 6, 0.5, 5))
+					cancelled := newHighArray(200+round, 3, 0.5, 300)
+					w.Submit(cancelled)
+					time.Sleep(6 * time.Second)
+					w.Cancel(cancelled.ID)
+					for _, worker := range busyMachines(w) {
+						worker.Reboot(resetCounters)
+						time.Sleep(200 * time.Millisecond)
+					}
+				}
+				time.Sleep(maxCommandCopyDelay)
+				checkCommandCopies(t, w)
+			})
+		})
+	}
+}
+
+// TestFirstAnswerToRestartedAgentFencesCopies restarts an agent with reset counters, and requires that the first answer
+// to it carries a token above those of the starts that were sent to its earlier incarnation.
+func TestFirstAnswerToRestartedAgentFencesCopies(t *testing.T) {
+	runCluster(t, 72, func(w *emulator.Environment) {
+		startServices(w, 3)
+		busy := busyMachines(w)
+		if len(busy) == 0 {
+			t.Fatal("no machine holds tasks")
+		}
+		worker := busy[0]
+		startToken := worker.FencingToken()
+		worker.DelayCommands(20 * time.Second) // no direct command delivers a token before the answer
+		worker.Reboot(true)
+		if token := waitFirstToken(worker); token <= startToken {
+			t.Errorf("the first answer carried token %d, want one above %d, that of the starts", token, startToken)
+		}
+	})
+}
+
+// TestFollowerLetsEpochOfAgentWithoutTokenEnd checks that a follower renews the lease of an agent that has seen a token,
+// but not of one that has seen none: in the epoch of an earlier incarnation it would execute copies of commands to it.
+func TestFollowerLetsEpochOfAgentWithoutTokenEnd(t *testing.T) {
+	withIdleController(t, 2500, func(c *Controller) {
+		machine := addMachine(t, c, hostName(1))
+		for _, token := range []uint64{0, 1} {
+			answer := c.keepalives.renewAsFollower(&wire.Heartbeat{
+				Machine: machine.Info.Name, AgentEpoch: 1, FencingToken: token,
+			})
+			if refused := answer == result.Result(leaseExpiring); refused != (token == 0) {
+				t.Errorf("heartbeat with token %d: got %+v, want a refusal only without a token", token, answer)
+			}
+		}
+	})
+}
+
+// waitFirstToken returns the first fencing token that a restarted agent receives, or 0 if it receives none for ten
+// seconds.
+func waitFirstToken(worker *emulator.Worker) uint64 {
+	for began := time.Now(); time.Since(began) < 10*time.Second; time.Sleep(10 * time.Millisecond) {
+		if token := worker.FencingToken(); token != 0 {
+			return token
+		}
+	}
+	return 0
+}
+
 // checkCommandCopies requires that machines executed copies of direct commands.
 func checkCommandCopies(t *testing.T, w *emulator.Environment) {
 	t.Helper()
--- a/internal/controller/heartbeats.go
+++ b/internal/controller/heartbeats.go
@@ -93,7 +93,7 @@
 	firstReport := !machine.Contact.Reported
 	verdict := hb.observe(machine, report, nil)
 	if verdict.IsStale() {
-		return hb.replyToStale(machine)
+		return hb.replyToStale(machine, report)
 	}
 	if firstReport {
 		hb.loop.requestRound()
@@ -105,7 +105,8 @@
 // replaced, and probes the machine. If the sending process no longer exists, the response has no effect. The response
 // renews the lease but contains no stop commands, so the lease of an agent whose probe responses do not arrive is
 // renewed only until the stale renewal limit, as by a controller that does not know of cancellations.
-func (hb *heartbeats) replyToStale(machine *model.Machine) result.Result {
+func (hb *heartbeats) replyToStale(machine *model.Machine, report *wire.Heartbeat) result.Result {
+	hb.replica.model.FenceUnprovenAgent(machine, report)
 	hb.probes.probeMachine(machine, nil)
 	if hb.now()-machine.Contact.LastReport > hb.settings.StaleRenewalLimit() {
 		return machineUnresponsive
--- a/internal/controller/keepalives.go
+++ b/internal/controller/keepalives.go
@@ -88,8 +88,14 @@
 // stops those of jobs that the log shows as cancelled. The renewals end at the stale renewal limit, because this
 // controller may not know of later cancellations: the leases then expire, so that a job cancelled after the last log
 // read still loses its tasks within cancel_s.
+//
+// An agent that has seen no token is not renewed. It holds no tasks, and may be a new incarnation in the epoch of an
+// earlier one: without a token, only the end of that epoch makes it reject copies of commands to the earlier one.
 func (fk *followerKeepalives) renewAsFollower(report *wire.Heartbeat) result.Result {
 	machine := fk.replica.model.MachinesByName[report.Machine]
+	if report.FencingToken == 0 {
+		return leaseExpiring
+	}
 	if machine != nil && (machine.Suspect || fk.leases.delayedStartPossible(machine, report)) {
 		return leaseExpiring
 	}
--- a/internal/controller/limits_test.go
+++ b/internal/controller/limits_test.go
@@ -109,7 +109,9 @@
 			withIdleController(t, 2500, func(c *Controller) {
 				placeAndCancel(t, c, fleet)
 				for _, machine := range c.replica.model.MachinesInOrder {
-					c.keepalives.renewAsFollower(&wire.Heartbeat{Machine: machine.Info.Name, AgentEpoch: 1})
+					c.keepalives.renewAsFollower(&wire.Heartbeat{
+						Machine: machine.Info.Name, AgentEpoch: 1, FencingToken: 1,
+					})
 				}
 				c.runMaintenance()
 				listed := 0
--- a/internal/emulator/worker_faults.go
+++ b/internal/emulator/worker_faults.go
@@ -106,6 +106,13 @@
 	return w.lastHeartbeat
 }
 
+// FencingToken returns the highest fencing token that the agent has seen since its counters were last reset.
+func (w *Worker) FencingToken() uint64 {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.fencingToken
+}
+
 // FailAllTasks makes every task that runs on the machine from now on fail.
 func (w *Worker) FailAllTasks() {
 	w.mu.Lock()
--- a/internal/model/delivery_order_test.go
+++ b/internal/model/delivery_order_test.go
@@ -18,8 +18,9 @@
 // leader while commands of the old one are in flight. The agent and the network are simulated; the leader's state and
 // its evaluation of reports are the production code.
 //
-// A command in flight to an earlier incarnation of the agent is lost when the agent's connections close; the new
-// incarnation never receives it.
+// A command in flight to an earlier incarnation of the agent is lost when the agent's connections close. A copy of a
+// command that was answered may reach the new incarnation, but not before that has received a token: no leader can
+// prevent its execution then.
 
 // mutation is a fault that a test injects into the protocol and that the exploration must detect.
 type mutation int
@@ -40,6 +41,9 @@
 	// An attempt whose start was answered is reaped under the token of that start, so that a copy of the start runs the
 	// attempt again.
 	reapsUnderStartToken
+	// The response to a report that proves nothing carries the token of starts that were sent to an earlier incarnation
+	// of the agent.
+	staleReportNotFenced
 )
 
 // faultSet is the set of faults that an exploration injects. A smaller set has fewer interleavings and is explored to a
@@ -71,6 +75,7 @@
 	incarnation, token, epoch uint64 // incarnation is that of the recipient
 	commands                  []wire.Command
 	isResponse                bool // response to the report in flight
+	isCopy                    bool // the agent has received the message before
 	senderWaits               bool // the sender still waits for the response
 	probe                     *staleness.ProbeBaseline
 	term                      uint64
@@ -133,8 +138,8 @@
 	}
 	b = fmt.Appendf(b, "%v %v %v %v %+v", w.runsElsewhere, w.exited, w.violation, w.relayedReport, w.reports)
 	for _, u := range w.inFlight {
-		b = fmt.Appendf(b, "%v %v %v %v %v %v %+v",
-			u.incarnation, u.token, u.epoch, u.isResponse, u.senderWaits, u.term, u.probe)
+		b = fmt.Appendf(b, "%v %v %v %v %v %v %v %+v",
+			u.incarnation, u.token, u.epoch, u.isResponse, u.isCopy, u.senderWaits, u.term, u.probe)
 		for _, c := range u.commands {
 			b = fmt.Appendf(b, " %v %v", c.Verb, c.Attempt)
 		}
@@ -312,18 +317,28 @@
 // answered, from the placement of the task on. Without the other faults, the orders are explored to a greater depth;
 // random walks combine the copies with all faults.
 func TestCopiedCommandsNeverStartTaskTwice(t *testing.T) {
+	endedNotReaped := []string{
+		"the leader sends a command",
+		"the command of term 3 arrives and is copied",
+		"the task ends by itself",
+		"the agent reports",
+		"report 0 arrives",
+	}
 	for _, c := range []struct {
 		mutation  mutation
+		setup     []string
 		faults    faultSet
 		maxStates int
 	}{
-		{noMutation, copiedCommands, 25_000},
-		{noMutation, copiedCommands | failover, 25_000},
-		{noMutation, copiedCommands | restarts, 25_000},
-		{noMutation, copiedCommands | lostMessages, 25_000},
-		{reapsUnderStartToken, copiedCommands, 25_000},
+		{noMutation, nil, copiedCommands, 25_000},
+		{noMutation, nil, copiedCommands | failover, 25_000},
+		{noMutation, nil, copiedCommands | restarts, 25_000},
+		{noMutation, nil, copiedCommands | lostMessages, 25_000},
+		{noMutation, endedNotReaped, copiedCommands | restarts, 25_000},
+		{reapsUnderStartToken, nil, copiedCommands, 25_000},
+		{staleReportNotFenced, endedNotReaped, copiedCommands | restarts, 25_000},
 	} {
-		w := newExploredState(t, c.mutation)
+		w := followSteps(t, newExploredState(t, c.mutation), c.setup...)
 		w.faults = c.faults
 		checkExploration(t, c.mutation, modelcheck.Explore(w, maxCopiedCommandsDepth, c.maxStates))
 	}
--- a/internal/model/delivery_steps_test.go
+++ b/internal/model/delivery_steps_test.go
@@ -99,8 +99,11 @@
 func (w *exploredState) respondToReport(r *wire.Heartbeat) {
 	v := w.observe(r, nil)
 	var commands []wire.Command
-	if !v.IsStale() {
+	switch {
+	case !v.IsStale():
 		commands = w.commands(true)
+	case w.mutation != staleReportNotFenced:
+		w.model.FenceUnprovenAgent(w.machine(), r)
 	}
 	u := w.newResponse(r)
 	u.commands = commands
@@ -190,7 +193,7 @@
 	if u.isResponse {
 		w.awaitedReport = 0
 	}
-	if u.incarnation != w.incarnation {
+	if u.incarnation != w.incarnation && (!u.isCopy || w.token == 0) {
 		return
 	}
 	accepted := u.epoch == w.epoch && u.token >= w.token
@@ -208,7 +211,7 @@
 func (w *exploredState) deliverAndCopy(i int) {
 	u := w.inFlight[i]
 	w.deliver(i)
-	u.senderWaits, u.probe = false, nil
+	u.senderWaits, u.probe, u.isCopy = false, nil, true
 	w.copies++
 	w.inFlight = append(w.inFlight, u)
 }
