Log the commands sent, refused commands, and attempts that cannot be there

Callers: whoever looked for the cause of the incident had only the machines' side of it; the controllers' logs had neither the starts nor the reaps, nor the token under which they went.

Change: at info one line a message with commands ("commands sent": machine, token, epoch, path, the log number committed by then, each command with its attempt, for stops the reason); "leader elected" has the term's first token; at warn "commands refused" with its reason, and "unexpected attempt listed" for an attempt that an agent lists although its job is unknown or over, the task is placed elsewhere or the attempt ended before, with a counter for alarms. Such reports change nothing else, and are described up to a bound. A replaced leader that hears of attempts of a later term says nothing.

--- a/internal/controller/command_copies_test.go
+++ b/internal/controller/command_copies_test.go
@@ -153,8 +153,8 @@
 	})
 }
 
-// TestFollowerLetsEpochOfAgentWithoutTokenEnd checks that a follower renews the lease of an agent that has seen a token,
-// but not of one that has seen none: in the epoch of an earlier incarnation it would execute copies of commands to it.
+// TestFollowerLetsEpochOfAgentWithoutTokenEnd checks that a follower renews the lease of an agent that has seen a
+// token, but not of one that has seen none: that one would execute copies of commands to an earlier incarnation.
 func TestFollowerLetsEpochOfAgentWithoutTokenEnd(t *testing.T) {
 	withIdleController(t, 2500, func(c *Controller) {
 		machine := addMachine(t, c, hostName(1))
--- a/internal/controller/command_dispatcher.go
+++ b/internal/controller/command_dispatcher.go
@@ -20,6 +20,7 @@
 // the loop.
 type commandDispatcher struct {
 	*environment
+	commandLog  *commandLog
 	commits     *commitPipeline
 	heartbeats  *heartbeats
 	loop        *eventLoop
@@ -105,6 +106,11 @@
 	term.leadership.timeline.Mark(candidacy.FirstCommand, cd.now())
 	batch := &wire.CommandBatch{FencingToken: sent.token, AgentEpoch: sent.epoch, Commands: commands}
 	addr, via := machine.Info.Addr, cd.assignments.relayFor(machine)
+	path := pathDirect
+	if via != nil {
+		path = pathRelay
+	}
+	cd.commandLog.logSent(machine, commands, sent.token, path)
 	go func() {
 		outcome, report, err := cd.assignments.sendCommands(term.ctx, via, addr, batch)
 		cd.loop.post(func() { cd.onCommandOutcome(sent, outcome, report, err) })
@@ -168,6 +174,8 @@
 func (cd *commandDispatcher) onRefused(sent *directCommand, report *wire.Heartbeat) {
 	reason := sent.refusalReason(report, cd.replica.model.Token(sent.machine))
 	cd.metrics.CommandsRefused[reason].Inc()
+	cd.log.Warn("commands refused", "machine", sent.machine.Info.Name, "reason", reason.String(), "token", sent.token,
+		"agent_epoch", sent.epoch, "commands", len(sent.commands))
 	if reason == metrics.RefusedToken {
 		cd.markForCommands(sent.machine)
 	}
--- a/internal/controller/components.go
+++ b/internal/controller/components.go
@@ -84,11 +84,12 @@
 		maxZoneProbes:     zoneProbeLimit(sockets, len(env.settings.Params.Zones)),
 		maxFollowUpProbes: followUpProbeLimit(sockets),
 	}
-	c.dispatch = &commandDispatcher{environment: env}
+	commands := &commandLog{environment: env, replica: c.replica, term: c.term}
+	c.dispatch = &commandDispatcher{environment: env, commandLog: commands}
 	c.rounds = &schedulingRounds{environment: env}
 	c.provisioning = &provisioning{environment: env}
 	c.keepalives = &followerKeepalives{environment: env, noRedirectUntil: map[string]time.Time{}}
-	c.heartbeats = &heartbeats{environment: env}
+	c.heartbeats = &heartbeats{environment: env, commandLog: commands}
 	c.heartbeatRouter = &heartbeatRouter{environment: env}
 	c.zones = &zoneLiveness{environment: env}
 	c.health = &machineHealth{environment: env}
--- a/internal/controller/heartbeats.go
+++ b/internal/controller/heartbeats.go
@@ -15,6 +15,7 @@
 // heartbeats proposes the resulting log entries.
 type heartbeats struct {
 	*environment
+	commandLog   *commandLog
 	commits      *commitPipeline
 	dispatch     *commandDispatcher
 	keepalives   *followerKeepalives
@@ -66,7 +67,7 @@
 func (hb *heartbeats) rejectReport(machine *model.Machine, report *wire.Heartbeat) result.Result {
 	active := hb.term.isActive()
 	switch {
-	case report.FencingToken >= hb.replica.model.MinToken+1<<machineTokenBits:
+	case hb.isOfLaterTerm(report.FencingToken):
 		return result.Redirected{} // the machine's agent has accepted a later term than this one
 	case !hb.leases.mayRenew():
 		// No controller may extend leases beyond the stale renewal limit: a cancellation that the controller does not
@@ -84,6 +85,11 @@
 	return nil
 }
 
+// isOfLaterTerm reports whether a fencing token belongs to a later term than this one.
+func (hb *heartbeats) isOfLaterTerm(token uint64) bool {
+	return token >= hb.replica.model.MinToken+1<<machineTokenBits
+}
+
 // acceptReport processes and answers the heartbeat of a registered machine that is not suspect.
 func (hb *heartbeats) acceptReport(machine *model.Machine, report *wire.Heartbeat, node int) result.Result {
 	if to, move := hb.assignments.redirectTarget(machine, node); move {
@@ -127,6 +133,7 @@
 	}
 	token := hb.replica.model.Token(machine)
 	machine.Contact.Reports.RecordResponse(token)
+	hb.commandLog.logSent(machine, commands, token, pathResponse)
 	return hb.leases.renew(machine.Info.Name, token, commands)
 }
 
@@ -262,14 +269,17 @@
 	return verdict
 }
 
-// applyVerdict logs the jobs that, according to the verdict on a report, fail on every machine, and marks the machines
-// that need commands because of the report. firstByProbe reports whether this is the machine's first report in this
-// term and was requested by this controller.
+// applyVerdict logs the jobs that, according to the verdict on a report, fail on every machine, and the attempts that
+// cannot be on the machine. It marks the machines that need commands because of the report. firstByProbe reports
+// whether this is the machine's first report in this term and was requested by this controller.
 func (hb *heartbeats) applyVerdict(machine *model.Machine, verdict *model.ReportVerdict, firstByProbe bool) {
 	for _, j := range verdict.Faulty {
 		hb.log.Info("job faulty, retrying with backoff", "job", j.Spec.ID, "class", j.Spec.Class,
 			"failures", j.Observed.Errors)
 	}
+	if verdict.UnexpectedCount > 0 && !hb.isOfLaterTerm(machine.Contact.Reports.Token()) {
+		hb.logUnexpected(machine, verdict)
+	}
 	for _, ready := range verdict.GangReadyMachines {
 		hb.dispatch.markForCommands(ready)
 	}
@@ -282,6 +292,17 @@
 	}
 }
 
+// logUnexpected counts the attempts that a machine lists although they cannot be there, and logs the first of them.
+// They show that the machine has executed a command that it should not have received, or that its report is wrong.
+func (hb *heartbeats) logUnexpected(machine *model.Machine, verdict *model.ReportVerdict) {
+	hb.metrics.UnexpectedAttempts.Add(verdict.UnexpectedCount)
+	first := verdict.Unexpected[0]
+	hb.log.Warn("unexpected attempt listed", "machine", machine.Info.Name, "task", first.Task, "attempt", first.Attempt,
+		"state", first.State, "reason", string(first.Reason), "count", verdict.UnexpectedCount,
+		"agent_epoch", machine.Contact.AgentEpoch, "seq", machine.Contact.Reports.Number().Seq,
+		"token", machine.Contact.Reports.Token())
+}
+
 func (hb *heartbeats) logQuarantined(machine *model.Machine) {
 	hb.log.Info("machine quarantined", "machine", machine.Info.Name, "failures", machine.Health.Failures)
 }
--- a/internal/controller/leader_term.go
+++ b/internal/controller/leader_term.go
@@ -134,8 +134,9 @@
 	ls.loop.requestRound()
 	ls.components.start(term)
 	ls.metrics.Terms.Inc()
-	ls.log.Info("leader elected", "term", term.leader.Term, "seq", ls.replica.appliedSeq,
-		"jobs", len(ls.replica.model.Jobs), "machines", len(ls.replica.model.MachinesInOrder))
+	ls.log.Info("leader elected", "term", term.leader.Term, "token", ls.replica.model.MinToken,
+		"seq", ls.replica.appliedSeq, "jobs", len(ls.replica.model.Jobs),
+		"machines", len(ls.replica.model.MachinesInOrder))
 }
 
 // stepDown ends a term in the event loop. It resets the replica, whose model contains entries that may never be
--- a/internal/metrics/golden_test.go
+++ b/internal/metrics/golden_test.go
@@ -27,6 +27,7 @@
 	r.NotAdmitted.Set(110)
 	r.LogBytes.Set(111)
 	r.ReapFences.Set(112)
+	r.UnexpectedAttempts.Set(117)
 	for reason := range refusalReasonCount {
 		r.CommandsRefused[reason].Set(113 + uint64(reason))
 	}
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -49,6 +49,8 @@
 	// reason.
 	ReapFences      *metrics.Counter
 	CommandsRefused [refusalReasonCount]*metrics.Counter
+	// UnexpectedAttempts counts attempts that agents list although, according to the log, they cannot be there.
+	UnexpectedAttempts *metrics.Counter
 	// LogBytes counts the bytes written to the replicated log.
 	LogBytes *metrics.Counter
 	// SchedulingRound is the duration of a scheduling round, and LogWrite that of writing a batch of the log to the
@@ -135,22 +137,23 @@
 func New(requestKinds ...string) *Registry {
 	set := metrics.NewSet()
 	r := &Registry{
-		set:               set,
-		requests:          make(map[string]*requestSeries, len(requestKinds)),
-		TasksPlaced:       set.NewCounter("fieldhill_tasks_placed_total"),
-		TasksStopped:      set.NewCounter("fieldhill_tasks_stopped_total"),
-		Provisioned:       set.NewCounter("fieldhill_machines_rented_total"),
-		ProvisionRejected: set.NewCounter("fieldhill_rentals_refused_total"),
-		ScaledIn:          set.NewCounter("fieldhill_machines_given_up_total"),
-		Terms:             set.NewCounter("fieldhill_terms_total"),
-		Relayed:           set.NewCounter("fieldhill_reports_relayed_total"),
-		AnsweredLocally:   set.NewCounter("fieldhill_reports_kept_total"),
-		Reassigned:        set.NewCounter("fieldhill_workers_moved_total"),
-		LogBytes:          set.NewCounter("fieldhill_log_bytes_total"),
-		NotAdmitted:       set.NewCounter("fieldhill_jobs_not_admitted_total"),
-		ReapFences:        set.NewCounter("fieldhill_reap_fences_total"),
-		SchedulingRound:   set.NewPrometheusHistogramExt("fieldhill_round_seconds", bucketBounds),
-		LogWrite:          set.NewPrometheusHistogramExt("fieldhill_log_write_seconds", bucketBounds),
+		set:                set,
+		requests:           make(map[string]*requestSeries, len(requestKinds)),
+		TasksPlaced:        set.NewCounter("fieldhill_tasks_placed_total"),
+		TasksStopped:       set.NewCounter("fieldhill_tasks_stopped_total"),
+		Provisioned:        set.NewCounter("fieldhill_machines_rented_total"),
+		ProvisionRejected:  set.NewCounter("fieldhill_rentals_refused_total"),
+		ScaledIn:           set.NewCounter("fieldhill_machines_given_up_total"),
+		Terms:              set.NewCounter("fieldhill_terms_total"),
+		Relayed:            set.NewCounter("fieldhill_reports_relayed_total"),
+		AnsweredLocally:    set.NewCounter("fieldhill_reports_kept_total"),
+		Reassigned:         set.NewCounter("fieldhill_workers_moved_total"),
+		LogBytes:           set.NewCounter("fieldhill_log_bytes_total"),
+		NotAdmitted:        set.NewCounter("fieldhill_jobs_not_admitted_total"),
+		ReapFences:         set.NewCounter("fieldhill_reap_fences_total"),
+		UnexpectedAttempts: set.NewCounter("fieldhill_unexpected_attempts_total"),
+		SchedulingRound:    set.NewPrometheusHistogramExt("fieldhill_round_seconds", bucketBounds),
+		LogWrite:           set.NewPrometheusHistogramExt("fieldhill_log_write_seconds", bucketBounds),
 	}
 	for reason := range refusalReasonCount {
 		name := `fieldhill_commands_refused_total{reason="` + reason.String() + `"}`
--- a/internal/model/clone.go
+++ b/internal/model/clone.go
@@ -70,7 +70,8 @@
 		o.cache, cacheSlab = appendToSlab(cacheSlab, machine.cache)
 		o.fetches, fetchSlab = appendToSlab(fetchSlab, machine.fetches)
 		o.Health.FailedJobs = nil
-		o.Contact.unresolvedStarts, o.Contact.sentStarts, o.Contact.reapable = nil, nil, nil
+		o.Contact.unresolvedStarts, o.Contact.sentStarts = nil, nil
+		o.Contact.reapable, o.Contact.previousReapable = nil, nil
 		copied.MachinesInOrder[i] = o
 		copied.Machines[o.ID] = o
 	}
--- a/internal/model/commands.go
+++ b/internal/model/commands.go
@@ -89,3 +89,22 @@
 		Verb: verb, Task: wire.TaskID(uint64(k.job), int(k.task)), Attempt: uint64(k.attempt), GraceS: grace,
 	}
 }
+
+// Reasons of stop commands.
+const (
+	stopCancelled = "(job cancelled)"
+	stopUnwanted  = "(preempted or moved)"
+	stopUntracked = "(not placed here)"
+)
+
+// StopReason returns why an attempt on a machine is told to stop, for the log.
+func (m *Model) StopReason(machine *Machine, command *wire.Command) string {
+	job, task, _ := wire.ParseTaskID(command.Task)
+	switch run := m.findRun(JobID(job), int32(task), uint32(command.Attempt)); {
+	case run == nil || run.Machine != machine:
+		return stopUntracked
+	case run.Job.Cancelled:
+		return stopCancelled
+	}
+	return stopUnwanted
+}
--- a/internal/model/delivery_order_test.go
+++ b/internal/model/delivery_order_test.go
@@ -115,6 +115,7 @@
 		copied.Contact.unresolvedStarts = maps.Clone(machine.Contact.unresolvedStarts)
 		copied.Contact.sentStarts = maps.Clone(machine.Contact.sentStarts)
 		copied.Contact.reapable = slices.Clone(machine.Contact.reapable)
+		copied.Contact.previousReapable = slices.Clone(machine.Contact.previousReapable)
 		m.MachinesByName[machine.Info.Name] = copied
 	}
 	w.model, w.reports, w.inFlight = m, slices.Clone(w.reports), slices.Clone(w.inFlight)
--- a/internal/model/machine.go
+++ b/internal/model/machine.go
@@ -82,6 +82,7 @@
 	// unless the agent has shown a higher token. Copies of the start may arrive at any later time.
 	sentStarts       map[runKey]uint64
 	reapable         []reapableTask // attempts listed by the agent that it must forget or stop
+	previousReapable []reapableTask // reapable of the previous report
 	observationCount uint64         // number of valid messages
 	lastObservedAt   Time           // time of the last valid message
 	silenceEndedAt   Time           // time of the first valid message after the last long silence
--- a/internal/model/model.go
+++ b/internal/model/model.go
@@ -88,7 +88,7 @@
 	}
 	contact.unresolvedStarts = nil
 	contact.sentStarts = nil
-	contact.reapable = nil
+	contact.reapable, contact.previousReapable = nil, nil
 	contact.Renewals = lease.ExpiryProof{}
 	lifecycle.PreemptionAt = 0
 	lifecycle.ProvisionedAt = 0
--- a/internal/model/observe.go
+++ b/internal/model/observe.go
@@ -39,6 +39,8 @@
 	Slow              bool                // the report shows the machine to be slow
 	GangReadyMachines []*Machine          // machines whose held gang members may be started now
 	NeedsProbe        bool                // the report ends runs if it is current; a probe must confirm that it is
+	Unexpected        []UnexpectedAttempt // the first attempts that cannot be on the machine
+	UnexpectedCount   int                 // number of attempts that cannot be on the machine
 }
 
 // IsStale reports whether the report does not prove the machine's current state, so that the machine must be probed.
@@ -52,6 +54,7 @@
 	machine         *Machine
 	report          *wire.Heartbeat
 	isProbeResponse bool // response to a probe or command of this leader; otherwise unsolicited
+	firstOfTerm     bool // the machine's first valid message in this term
 	now             Time
 	verdict         ReportVerdict
 }
@@ -60,7 +63,10 @@
 // to a probe or a command, probe is the result of the BeginProbe call made when the probe or command was sent;
 // otherwise probe is nil.
 func (m *Model) Observe(machine *Machine, r *wire.Heartbeat, probe *staleness.ProbeBaseline, now Time) ReportVerdict {
-	o := observation{model: m, machine: machine, report: r, isProbeResponse: probe != nil, now: now}
+	o := observation{
+		model: m, machine: machine, report: r, isProbeResponse: probe != nil, now: now,
+		firstOfTerm: !machine.Contact.Reported,
+	}
 	contact := &machine.Contact
 	stamp := staleness.Stamp{Number: staleness.Number{AgentEpoch: r.AgentEpoch, Seq: r.Seq}, Token: r.FencingToken}
 	o.verdict.Freshness = contact.Reports.Judge(stamp, m.MinToken, machine.latestRunEpoch(), probe)
@@ -149,13 +155,14 @@
 	}
 	c.lastObservedAt = now
 	c.observationCount++
-	c.reapable = c.reapable[:0]
+	c.previousReapable, c.reapable = c.reapable, c.previousReapable[:0]
 }
 
 // handleListedAttempt evaluates the status of one attempt in a report.
 func (o *observation) handleListedAttempt(s *wire.TaskStatus) {
 	n, task, ok := wire.ParseTaskID(s.Task)
 	if !ok || s.Attempt >= maxID {
+		o.recordUnexpected(s, InvalidAttempt)
 		return
 	}
 	k := runKey{JobID(n), int32(task), uint32(s.Attempt)}
@@ -191,6 +198,7 @@
 // has not exited, stop it.
 func (o *observation) handleUntrackedAttempt(k runKey, s *wire.TaskStatus) {
 	exited := s.State == wire.TaskExited
+	o.checkUntracked(k, s)
 	if j := o.model.Jobs[k.job]; exited && s.Cause == wire.CauseDone && j != nil && !j.Cancelled &&
 		int(k.task) < len(j.Tasks) && j.Tasks[k.task].State == Waiting {
 		// A completion still counts if the attempt no longer has a run, for example because the agent kept the result
--- a/internal/model/term.go
+++ b/internal/model/term.go
@@ -67,9 +67,10 @@
 	return machine.Contact.sentStarts[k] >= t.Token(machine)
 }
 
-// FenceUnprovenAgent raises a machine's token before the response to a report that proves nothing, if the report shows a
-// lower token than the agent is known to have. Its sender may be a new incarnation of the agent that has seen no token,
-// in the epoch of the earlier incarnation: copies of starts sent to that one must not be executed after the response.
+// FenceUnprovenAgent raises a machine's token before the response to a report that proves nothing, if the report shows
+// a lower token than the agent is known to have. Its sender may be a new incarnation of the agent that has seen no
+// token, in the epoch of the earlier incarnation: copies of starts sent to that one must not be executed after the
+// response.
 func (t *leaderTerm) FenceUnprovenAgent(machine *Machine, report *wire.Heartbeat) {
 	contact := &machine.Contact
 	if report.FencingToken >= contact.Reports.Token() {
