End a term before a machine's fencing tokens reach those of the next

A token has 24 bits for a machine's raises within a term. They were raised in doubt only; since reaps raise them too, a machine with short tasks may use some one a second, which would reach the next term's tokens after half a year of one leader: its agent would then be redirected for ever, and the next leader's tokens would fence nothing. The leader ends its term at half of the bits, revokes its lease, and the next term begins anew. TestTermEndsBeforeTokensRunOut sets the counter next to the bound; the term is the next one and the job done.

--- a/internal/controller/command_copies_test.go
+++ b/internal/controller/command_copies_test.go
@@ -169,6 +169,26 @@
 	})
 }
 
+// TestTermEndsBeforeTokensRunOut checks that a leader that has raised a machine's token too often hands over to a new
+// term, whose tokens begin anew, and that work goes on.
+func TestTermEndsBeforeTokensRunOut(t *testing.T) {
+	runCluster(t, 73, func(w *emulator.Environment) {
+		startServices(w, 1)
+		term, leader := currentTerm(), nodeAt(findLeader())
+		leader.loop.postAndWait(func() {
+			for _, machine := range leader.replica.model.MachinesInOrder {
+				machine.Contact.TokenOffset = maxTokenOffset - 1
+			}
+		})
+		short := newHighArray(100, 4, 0.5, 5)
+		w.Submit(short)
+		waitState(t, w, short.ID, wire.JobDone, 30*time.Second)
+		if now := currentTerm(); now != term+1 {
+			t.Errorf("term is %d, want %d: the one after the term without tokens", now, term+1)
+		}
+	})
+}
+
 // waitFirstToken returns the first fencing token that a restarted agent receives, or 0 if it receives none for ten
 // seconds.
 func waitFirstToken(worker *emulator.Worker) uint64 {
--- a/internal/controller/command_dispatcher.go
+++ b/internal/controller/command_dispatcher.go
@@ -71,6 +71,9 @@
 	if machine.Contact.TokenOffset > offset {
 		cd.metrics.ReapFences.Inc()
 	}
+	if machine.Contact.TokenOffset >= maxTokenOffset {
+		cd.term.resign(term, errTokensExhausted)
+	}
 	// Commands that depend on uncommitted entries are sent after the commit. If the machine stayed in dirtyMachines,
 	// every maintenance run would send it the same commands again.
 	delete(term.dispatch.dirtyMachines, machine)
--- a/internal/controller/leadership.go
+++ b/internal/controller/leadership.go
@@ -167,8 +167,11 @@
 // If no other controller is elected by then, it stands again.
 const abstainDuration = 10 * time.Second
 
-// lead serves a term and logs why it ended. After a resignation, it revokes the lease and lets other controllers stand
-// for election first.
+// errTokensExhausted ends a term in which a machine's fencing token was raised too often.
+var errTokensExhausted = errors.New("controller: fencing tokens of a machine are used up in this term")
+
+// lead serves a term and logs why it ended. After a resignation it revokes the lease, and lets other controllers stand
+// for election first if agents do not reach this one.
 func (ls *leadership) lead(ctx context.Context, won *election.Leadership) {
 	err := ls.serveTerm(ctx, won)
 	if err != nil && ctx.Err() == nil {
@@ -176,6 +179,8 @@
 	}
 	if errors.Is(err, errHeartbeatsMissing) {
 		ls.abstainUntil = time.Now().Add(abstainDuration)
+	}
+	if errors.Is(err, errHeartbeatsMissing) || errors.Is(err, errTokensExhausted) {
 		_ = ls.store.Revoke(ctx, won.Lease) // if this fails, the lease expires
 	}
 }
--- a/internal/controller/machine_health.go
+++ b/internal/controller/machine_health.go
@@ -198,17 +198,11 @@
 	}
 }
 
-// resign ends the term with errHeartbeatsMissing. The term is no longer trusted from then on, so this controller does
-// not act as the leader any more.
+// resign ends the term with errHeartbeatsMissing.
 func (mh *machineHealth) resign(term *leaderTerm, census *health.Census) {
 	total, silent := census.Totals()
 	mh.log.Info("leadership resigned, heartbeats missing", "machines", total, "silent", silent)
-	term.resigned = true
-	mh.term.extendTrust(term, time.Time{})
-	select {
-	case term.errs <- errHeartbeatsMissing:
-	default:
-	}
+	mh.term.resign(term, errHeartbeatsMissing)
 }
 
 // healthEvidence implements health.Evidence: it provides package health with details about one machine at a time during
--- a/internal/controller/term.go
+++ b/internal/controller/term.go
@@ -50,7 +50,7 @@
 }
 
 // maxTermErrors is the capacity of leaderTerm.errs. It lets each of the senders report one error without blocking: the
-// lease renewal, the log writer, the compactor, and the check for missing heartbeats.
+// lease renewal, the log writer, the compactor, and a resignation.
 const maxTermErrors = 4
 
 // newLeaderTerm creates the state of a term that was just won. The term ends with ctx; cancel ends ctx.
@@ -78,6 +78,9 @@
 // the leader's term, so every token of a later term is greater.
 const machineTokenBits = 24
 
+// maxTokenOffset is the machine counter at which a term ends, long before a token could reach those of the next term.
+const maxTokenOffset = 1 << (machineTokenBits - 1)
+
 // isActive reports whether this controller leads and may act as the leader, because the leader's lease that it holds is
 // certain to be valid.
 func (ts *termState) isActive() bool {
@@ -89,3 +92,14 @@
 	term.trustedUntil = until
 	term.trustedUntilOffset.Store(int64(until.Sub(ts.startTime)))
 }
+
+// resign ends a term with an error. The term is no longer trusted from then on, so this controller does not act as the
+// leader any more.
+func (ts *termState) resign(term *leaderTerm, err error) {
+	term.resigned = true
+	ts.extendTrust(term, time.Time{})
+	select {
+	case term.errs <- err:
+	default:
+	}
+}
