--- a/internal/controller/fault_pairs_test.go
+++ b/internal/controller/fault_pairs_test.go
@@ -240,6 +240,7 @@
 	t.Helper()
 	w.Store.SetRateLimits(w.Params.KVStore.RPS, w.Params.KVStore.WriteRPS)
 	w.DuplicateCommands(commandCopyShare, maxCommandCopyDelay)
+	w.DuplicateRequests(requestCopyShare, maxCommandCopyDelay)
 	teamsAtQuota := rng.IntN(3) == 0
 	startServices(w, 3)
 	done := make(chan struct{})
--- a/internal/controller/random_faults_test.go
+++ b/internal/controller/random_faults_test.go
@@ -67,6 +67,7 @@
 	endBackground := backgroundFaults(w, rand.New(rand.NewPCG(rng.Uint64(), 10)))
 	w.SetFaults(0.1, 20*time.Second)
 	w.DuplicateCommands(commandCopyShare, maxCommandCopyDelay)
+	w.DuplicateRequests(requestCopyShare, maxCommandCopyDelay)
 	// The store enforces the rate limits, because a restarted controller does not know how much of its rate the
 	// ended process has used.
 	w.Store.SetRateLimits(w.Params.KVStore.RPS, w.Params.KVStore.WriteRPS)
--- a/internal/emulator/cloud.go
+++ b/internal/emulator/cloud.go
@@ -312,6 +312,11 @@
 		names = append(names, c.launch(ctx, request.Type, request.Zone, request.Spot))
 	}
 	c.machinesByRequest[request.IdempotencyKey] = names
+	c.environment.maybeCopy(CopiedScaleOut, func() {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		c.scaleOut(ctx, request)
+	})
 	return &wire.MachineNames{Machines: names}
 }
 
@@ -373,6 +378,11 @@
 	}
 	c.handleRequest(w, func() any {
 		c.remove(machines)
+		c.environment.maybeCopy(CopiedRelease, func() {
+			c.mu.Lock()
+			defer c.mu.Unlock()
+			c.remove(machines)
+		})
 		return payload{}
 	})
 }
--- a/internal/emulator/command_copies.go
+++ b/internal/emulator/command_copies.go
@@ -2,26 +2,19 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"sync"
 	"time"
 
 	"fieldhill/wire"
 )
 
-// minCommandCopyDelay is the minimum delay of the copy of a direct command.
-const minCommandCopyDelay = 300 * time.Millisecond
-
 // commandCopier emulates a network that delivers direct commands once more after the machine executed and answered
 // them.
 type commandCopier struct {
-	ctx context.Context // context of the environment
+	copier *requestCopier
 
-	mu          sync.Mutex
-	rng         *rand.Rand
-	probability float64
-	maxDelay    time.Duration
-	counts      CommandCopyCounts
+	mu     sync.Mutex
+	counts CommandCopyCounts
 }
 
 // CommandCopyCounts counts the copies of direct commands that reached machines.
@@ -30,12 +23,17 @@
 	Rejected int // rejected because of their fencing token or epoch
 }
 
+// copiedCommands is the kind of the copies made by commandCopier, whose outcomes are counted in CommandCopyCounts.
+const copiedCommands CopiedRequest = "direct commands"
+
+func newCommandCopier(ctx context.Context, seed uint64) *commandCopier {
+	return &commandCopier{copier: newRequestCopier(ctx, seed, 3)}
+}
+
 // DuplicateCommands sets the probability that a direct command is delivered once more after it was executed and
-// answered, and the maximum delay of the second delivery. Short delays are more frequent than long ones.
+// answered, and the maximum delay of the second delivery.
 func (c *commandCopier) DuplicateCommands(probability float64, maxDelay time.Duration) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.probability, c.maxDelay = probability, maxDelay
+	c.copier.DuplicateRequests(probability, maxDelay)
 }
 
 // CommandCopies returns the number of copies that reached machines so far.
@@ -47,20 +45,7 @@
 
 // maybeDuplicate delivers commands to a machine a second time with the probability set by DuplicateCommands.
 func (c *commandCopier) maybeDuplicate(worker *Worker, batch *wire.CommandBatch) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.probability == 0 || c.rng.Float64() >= c.probability {
-		return
-	}
-	fraction := c.rng.Float64()
-	delay := minCommandCopyDelay + time.Duration(fraction*fraction*float64(c.maxDelay-minCommandCopyDelay))
-	go func() {
-		select {
-		case <-c.ctx.Done():
-		case <-time.After(delay):
-			c.deliver(worker, batch)
-		}
-	}()
+	c.copier.maybeCopy(copiedCommands, func() { c.deliver(worker, batch) })
 }
 
 // deliver delivers the copy of a command, and counts it by its outcome.
--- a/internal/emulator/environment.go
+++ b/internal/emulator/environment.go
@@ -30,6 +30,7 @@
 	*userGroup
 	*heartbeatCopier
 	*commandCopier
+	*requestCopier
 	*taskBehavior
 	gangs *gangRegistry
 
@@ -148,6 +149,7 @@
 		networkOf:         networkOf,
 		addresses:         addresses,
 		random:            &randomSource{rng: rand.New(rand.NewPCG(seed, 2))},
+		requestCopier:     newRequestCopier(ctx, seed, 4),
 		leaseDuration:     config.Seconds(params.Workers.LeaseS),
 		heartbeatInterval: config.Seconds(params.Workers.HeartbeatS),
 	}
@@ -158,6 +160,7 @@
 		controllers: e.controllerGroup,
 		checker:     e.Checker,
 		random:      e.random,
+		copier:      e.requestCopier,
 	}
 	e.heartbeatCopier = &heartbeatCopier{
 		ctx:         ctx,
@@ -165,7 +168,8 @@
 		controllers: e.controllerGroup,
 		random:      e.random,
 	}
-	e.commandCopier = &commandCopier{ctx: ctx, rng: rand.New(rand.NewPCG(seed, 3))}
+	e.commandCopier = newCommandCopier(ctx, seed)
+	e.Store.copier = e.requestCopier
 	if err := e.Store.Serve(ctx, networkOf("state"), addresses.Store); err != nil {
 		return nil, err
 	}
--- a/internal/emulator/kvstore.go
+++ b/internal/emulator/kvstore.go
@@ -42,6 +42,8 @@
 	requestBytes int // size of all request bodies
 	peakKeys     int // highest number of keys held at once
 
+	copier *requestCopier // nil: no copies of requests are made
+
 	outage       bool
 	refusedHosts map[string]bool // hosts whose requests are refused as in an outage
 	latency      time.Duration   // time before each request is processed
--- a/internal/emulator/kvstore_http.go
+++ b/internal/emulator/kvstore_http.go
@@ -177,6 +177,9 @@
 		panic(http.ErrAbortHandler)
 	}
 	code, response := s.apply(&txn)
+	if code == http.StatusOK && len(txn.Writes) > 0 {
+		s.copier.maybeCopy(CopiedTransaction, func() { s.apply(&txn) })
+	}
 	respond(w, code, response)
 }
 
@@ -281,27 +284,49 @@
 	}
 	idText, _, _ := strings.Cut(path, "/")
 	id, _ := strconv.ParseUint(idText, 10, 64)
-	lease := s.leases[id]
-	if lease == nil {
+	if s.leases[id] == nil {
 		respond(w, http.StatusNotFound, payload{})
 		return
 	}
+	kind, apply := CopiedLeaseRenewal, s.renewLease
 	if r.Method == http.MethodDelete {
-		s.revokeLease(id)
-	} else {
-		lease.expiresAt = time.Now().Add(lease.ttl)
+		kind, apply = CopiedLeaseRevoke, s.revokeLease
 	}
+	apply(id)
+	s.copier.maybeCopy(kind, func() {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		s.revokeExpiredLeases()
+		apply(id)
+	})
 	respond(w, http.StatusOK, payload{})
 }
 
+// renewLease extends a lease by its TTL, if it exists.
+func (s *KVStore) renewLease(id uint64) {
+	if lease := s.leases[id]; lease != nil {
+		lease.expiresAt = time.Now().Add(lease.ttl)
+	}
+}
+
 func (s *KVStore) grantLease(w http.ResponseWriter, body []byte) {
 	var request wire.LeaseRequest
 	if wire.Unmarshal(body, &request) != nil || request.TTLMillis < minLeaseTTLMillis {
 		respond(w, http.StatusBadRequest, payload{})
 		return
 	}
-	s.lastLeaseID++
 	ttl := time.Duration(request.TTLMillis) * time.Millisecond
-	s.leases[s.lastLeaseID] = &leaseState{ttl, time.Now().Add(ttl)}
+	s.addLease(ttl)
+	s.copier.maybeCopy(CopiedLeaseGrant, func() {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		s.addLease(ttl)
+	})
 	respond(w, http.StatusOK, payload{"permit": s.lastLeaseID})
 }
+
+// addLease grants a lease under a new ID.
+func (s *KVStore) addLease(ttl time.Duration) {
+	s.lastLeaseID++
+	s.leases[s.lastLeaseID] = &leaseState{ttl, time.Now().Add(ttl)}
+}
--- a/internal/emulator/users.go
+++ b/internal/emulator/users.go
@@ -31,6 +31,7 @@
 	controllers *controllerGroup
 	checker     *InvariantChecker
 	random      *randomSource
+	copier      *requestCopier
 
 	mu                sync.Mutex
 	cancelAtEndChance float64 // probability that a job is cancelled as its last task ends
@@ -126,9 +127,18 @@
 // RequestAt is like Request, but sends to the given controller.
 func (u *userGroup) RequestAt(controller int, operation, id string, body []byte) (int, *wire.JobStatus) {
 	response := u.send(context.Background(), controller, operation, id, body)
+	if kind := copiedOperations[operation]; kind != "" && response.code != 0 {
+		u.copier.maybeCopy(kind, func() { u.send(context.Background(), controller, operation, id, body) })
+	}
 	return response.code, response.status
 }
 
+// copiedOperations are the operations that change something.
+var copiedOperations = map[string]CopiedRequest{
+	operationSubmit: CopiedSubmission,
+	operationCancel: CopiedCancellation,
+}
+
 // userResponse is the response to a user's request; the zero value stands for no response.
 type userResponse struct {
 	code   int
