--- a/internal/controller/singletons_test.go
+++ b/internal/controller/singletons_test.go
@@ -215,3 +215,33 @@
 	w.RequestAt((holder+1)%3, "submit", job.ID, registerJob(t, w, job))
 	return waitLaunched(w, launched, began, time.Minute, 20*time.Millisecond)
 }
+
+// TestReclaimedZoneWithDistributedRoles reclaims all machines of a zone without notice and restarts all controllers at
+// that moment. With distributed singleton roles too, the tasks that the machines held must not use up their team's
+// limit for so long that jobs wait for 90 s beside room.
+func TestReclaimedZoneWithDistributedRoles(t *testing.T) {
+	runClusterWithRoles(t, 75, func(w *emulator.Environment) {
+		startServices(w, 1)
+		zone := "b"
+		for n := 10; n < 16; n++ {
+			inZone := newWebService(n, 3, "small")
+			inZone.Team, inZone.Zone = "blue", &zone
+			w.Submit(inZone)
+		}
+		time.Sleep(40 * time.Second)
+		waiting := newReplicatedService(20, 12)
+		waiting.Team = "blue"
+		w.Submit(waiting)
+		time.Sleep(20 * time.Second)
+		for _, worker := range zoneMachines(w, zone) {
+			w.Cloud.Reclaim(worker.Name)
+		}
+		killAll(w)
+		startAll(w)
+		w.Checker.MarkFaultsOver()
+		for range 24 {
+			go w.Request("poll", waiting.ID, nil)
+			time.Sleep(5 * time.Second)
+		}
+	})
+}
