Postmortem of the incident; copies of commands in the real-process player

The player delivers every direct command once more after it was answered, and counts a case without one as not run.

--- a/review/play/cluster.go
+++ b/review/play/cluster.go
@@ -32,6 +32,9 @@
 
 const controllers = 3
 
+// maxCopyDelay is the maximum delay of the copies of direct commands, which arrive once more after they were answered.
+const maxCopyDelay = 5 * time.Second
+
 // freePorts returns the addresses of free ports of 127.0.0.1.
 func freePorts(n int) ([]string, error) {
 	var addrs []string
@@ -92,6 +95,7 @@
 		stop()
 		return nil, err
 	}
+	c.DuplicateCommands(1, maxCopyDelay)
 	c.Store.SetRateLimits(deployment.Params.KVStore.RPS, deployment.Params.KVStore.WriteRPS)
 	for i := range controllers {
 		c.SetZone(i, deployment.Params.Zones[i%len(deployment.Params.Zones)])
@@ -102,6 +106,8 @@
 
 // end ends all controllers and removes their files, unless KEEP is set.
 func (c *cluster) end() {
+	c.copies = c.CommandCopies()
+	c.rec.line("copies of commands: %d executed, %d rejected", c.copies.Executed, c.copies.Rejected)
 	c.stop()
 	c.done.Wait()
 	if os.Getenv("KEEP") != "" {
--- a/review/play/main.go
+++ b/review/play/main.go
@@ -5,12 +5,15 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"os"
 	"os/signal"
 	"path/filepath"
 	"syscall"
 	"time"
+
+	"fieldhill/internal/emulator"
 )
 
 // Exit codes.
@@ -20,6 +23,9 @@
 	exitNotRun = 2
 )
 
+// errNoCopies is the error of a case in which no copy of a command was carried out.
+var errNoCopies = errors.New("no copies of commands were executed")
+
 // limit is the time after which a case counts as one that could not run.
 const limit = 118 * time.Second
 
@@ -31,12 +37,14 @@
 	ctx     context.Context // ends when the case is out of time or interrupted
 	rec     *record
 	trouble bool // bring about the disruption
+	copies  emulator.CommandCopyCounts
 }
 
 var cases = map[string]caseFunc{
 	"1": taskWithoutNeeds,
 	"2": leftWaiting,
 	"3": cancelledOnHungMachine,
+	"4": copiedCommands,
 }
 
 func main() {
@@ -59,7 +67,11 @@
 	defer cancel()
 	trouble := os.Getenv("TROUBLE") != "0"
 	rec.line("case %s, trouble: %v", os.Args[1], trouble)
-	broken, err := cases[os.Args[1]](&session{ctx, rec, trouble})
+	s := &session{ctx: ctx, rec: rec, trouble: trouble}
+	broken, err := cases[os.Args[1]](s)
+	if err == nil && s.copies.Executed == 0 {
+		err = errNoCopies
+	}
 	switch {
 	case broken:
 		rec.line("the rule was BROKEN")
