--- a/internal/controller/request_copies_test.go
+++ b/internal/controller/request_copies_test.go
@@ -1,6 +1,7 @@
 package controller
 
 import (
+	"fmt"
 	"math/rand/v2"
 	"testing"
 	"time"
@@ -22,28 +23,35 @@
 // cancellations, once more after they were answered, while jobs run and are cancelled and leaders change.
 func TestCopiesOfAnsweredRequests(t *testing.T) {
 	defer func() { compactEvery = 0 }()
-	runFaultCombination(t, 4, 74, func(t *testing.T, w *emulator.Environment, seed uint64, rng *rand.Rand) {
-		compactEvery = int(seed%2) * 10
-		w.DuplicateRequests(1, maxCommandCopyDelay)
-		startServices(w, 3)
-		var ids []string
-		for range 8 {
-			ids = append(ids, submitShortJobs(w, rng, 100+len(ids))...)
-			time.Sleep(randomMillis(rng, 0, 6000))
-			w.Cancel(ids[rng.IntN(len(ids))])
-			if rng.IntN(2) == 0 {
-				w.Restart(leaderOrFirst(), randomMillis(rng, 20, 300))
-			}
-			time.Sleep(randomMillis(rng, 0, 9000))
+	for _, compactEvery = range []int{0, 10} {
+		t.Run(fmt.Sprint("compaction every ", compactEvery), func(t *testing.T) {
+			runFaultCombination(t, 2, 74, copyAnsweredRequests)
+		})
+	}
+}
+
+// copyAnsweredRequests runs TestCopiesOfAnsweredRequests for one seed.
+func copyAnsweredRequests(t *testing.T, w *emulator.Environment, _ uint64, rng *rand.Rand) {
+	t.Helper()
+	w.DuplicateRequests(1, maxCommandCopyDelay)
+	startServices(w, 3)
+	var ids []string
+	for range 8 {
+		ids = append(ids, submitShortJobs(w, rng, 100+len(ids))...)
+		time.Sleep(randomMillis(rng, 0, 6000))
+		w.Cancel(ids[rng.IntN(len(ids))])
+		if rng.IntN(2) == 0 {
+			w.Restart(leaderOrFirst(), randomMillis(rng, 20, 300))
 		}
-		time.Sleep(maxCommandCopyDelay)
-		checkConvergence(t, w, ids)
-		copies := w.RequestCopies()
-		t.Logf("copies: %v", copies)
-		for _, kind := range copiedRequests {
-			if copies[kind] == 0 {
-				t.Errorf("no copy of a %s was delivered: the fault did not occur", kind)
-			}
+		time.Sleep(randomMillis(rng, 0, 9000))
+	}
+	time.Sleep(maxCommandCopyDelay)
+	checkConvergence(t, w, ids)
+	copies := w.RequestCopies()
+	t.Logf("copies: %v", copies)
+	for _, kind := range copiedRequests {
+		if copies[kind] == 0 {
+			t.Errorf("no copy of a %s was delivered: the fault did not occur", kind)
 		}
-	})
+	}
 }
