--- a/internal/controller/keepalives.go
+++ b/internal/controller/keepalives.go
@@ -93,10 +93,8 @@
 // earlier one: without a token, only the end of that epoch makes it reject copies of commands to the earlier one.
 func (fk *followerKeepalives) renewAsFollower(report *wire.Heartbeat) result.Result {
 	machine := fk.replica.model.MachinesByName[report.Machine]
-	if report.FencingToken == 0 {
-		return leaseExpiring
-	}
-	if machine != nil && (machine.Suspect || fk.leases.delayedStartPossible(machine, report)) {
+	if report.FencingToken == 0 ||
+		machine != nil && (machine.Suspect || fk.leases.delayedStartPossible(machine, report)) {
 		return leaseExpiring
 	}
 	commands := fk.stopCommandsForCancelled(report)
--- a/internal/emulator/heartbeat_copies.go
+++ b/internal/emulator/heartbeat_copies.go
@@ -45,13 +45,7 @@
 	if !duplicate {
 		return
 	}
-	go func() {
-		select {
-		case <-c.ctx.Done():
-		case <-time.After(delay):
-			c.SendDuplicate(controllerAddr, heartbeat)
-		}
-	}()
+	deliverLater(c.ctx, delay, func() { c.SendDuplicate(controllerAddr, heartbeat) })
 }
 
 // drawCopies randomly decides whether a heartbeat is retained, and whether and with what delay it is duplicated.
--- a/internal/emulator/request_copies.go
+++ b/internal/emulator/request_copies.go
@@ -69,15 +69,21 @@
 	}
 	fraction := c.rng.Float64()
 	delay := minCopyDelay + time.Duration(fraction*fraction*float64(c.maxDelay-minCopyDelay))
-	go func() {
-		select {
-		case <-c.ctx.Done():
-			return
-		case <-time.After(delay):
-		}
+	deliverLater(c.ctx, delay, func() {
 		deliver()
 		c.mu.Lock()
 		defer c.mu.Unlock()
 		c.copies[kind]++
+	})
+}
+
+// deliverLater calls deliver in a goroutine after a delay, unless the context ends before.
+func deliverLater(ctx context.Context, delay time.Duration, deliver func()) {
+	go func() {
+		select {
+		case <-ctx.Done():
+		case <-time.After(delay):
+			deliver()
+		}
 	}()
 }
--- a/internal/model/term.go
+++ b/internal/model/term.go
@@ -53,7 +53,7 @@
 // command or before it. If it has none, the token is raised, but only for a direct command: raised in a response, it
 // would make the agent reject direct commands that are in flight.
 func (t *leaderTerm) mayReap(machine *Machine, k runKey, inResponse bool) bool {
-	if !t.reapNeedsRaise(machine, k) {
+	if !t.startSentUnderToken(machine, k) {
 		return true
 	}
 	if !inResponse {
@@ -62,8 +62,9 @@
 	return !inResponse
 }
 
-// reapNeedsRaise reports whether a start of an attempt was sent under the machine's current token.
-func (t *leaderTerm) reapNeedsRaise(machine *Machine, k runKey) bool {
+// startSentUnderToken reports whether a start of an attempt was sent under the machine's current token, so that only a
+// raised one fences copies of it.
+func (t *leaderTerm) startSentUnderToken(machine *Machine, k runKey) bool {
 	return machine.Contact.sentStarts[k] >= t.Token(machine)
 }
 
@@ -76,8 +77,8 @@
 	if report.FencingToken >= contact.Reports.Token() {
 		return
 	}
-	for _, token := range contact.sentStarts {
-		if token >= t.Token(machine) {
+	for k := range contact.sentStarts {
+		if t.startSentUnderToken(machine, k) {
 			contact.TokenOffset++
 			return
 		}
@@ -88,7 +89,7 @@
 // but not in a response, because the command needs a raised token.
 func (t *leaderTerm) NeedsDirectReap(machine *Machine, committed uint64) bool {
 	return slices.ContainsFunc(machine.Contact.reapable, func(d reapableTask) bool {
-		return d.exited && d.seq <= committed && t.reapNeedsRaise(machine, d.key)
+		return d.exited && d.seq <= committed && t.startSentUnderToken(machine, d.key)
 	})
 }
 
