Show that a gang waits for ever with a machine in each of two zones

Cause: the autoscaler's demand leaves `same_place` out. A request that the cloud fills in part leaves one machine in each of two zones; the autoscaler takes both members of the gang for placed, and the scheduler needs them in one zone.

--- a/review/rig/main.go
+++ b/review/rig/main.go
@@ -33,6 +33,7 @@
 
 var plays = map[string]play{
 	"crowd": {crowdPlan, playCrowd},
+	"apart": {apartPlan, playApart},
 }
 
 func main() {
