Show that replicas stay away after two machines were faulty for a while

Cause: a job that failed on two machines and completed no task counts as faulty until it completes one, which a service never does. Of a faulty job no task is placed while another one is.

--- a/review/rig/main.go
+++ b/review/rig/main.go
@@ -32,8 +32,9 @@
 }
 
 var plays = map[string]play{
-	"crowd": {crowdPlan, playCrowd},
-	"apart": {apartPlan, playApart},
+	"verdict": {verdictPlan, playVerdict},
+	"crowd":   {crowdPlan, playCrowd},
+	"apart":   {apartPlan, playApart},
 }
 
 func main() {
