Show that tasks wait beside the room kept for services after a failover

Cause: the scheduler leaves 1.5 times the largest job of a service class free, the autoscaler keeps only one such job's room ready when no arrivals are counted, as after a change of leader. It takes the rest for room for waiting tasks, which the scheduler doesn't let them use.

--- a/review/rig/main.go
+++ b/review/rig/main.go
@@ -32,9 +32,10 @@
 }
 
 var plays = map[string]play{
-	"verdict": {verdictPlan, playVerdict},
-	"crowd":   {crowdPlan, playCrowd},
-	"apart":   {apartPlan, playApart},
+	"verdict":  {verdictPlan, playVerdict},
+	"crowd":    {crowdPlan, playCrowd},
+	"apart":    {apartPlan, playApart},
+	"headroom": {headroomPlan, playHeadroom},
 }
 
 func main() {
