--- a/review/rig/headroom.go
+++ b/review/rig/headroom.go
@@ -52,5 +52,5 @@
 	if !p.submit(batch) {
 		return false, fmt.Errorf("%s was not accepted", batch.ID)
 	}
-	return p.leftWaiting(batch), nil
+	return p.leftWaiting(batch)
 }
--- a/review/rig/watch.go
+++ b/review/rig/watch.go
@@ -34,15 +34,16 @@
 }
 
 // leftWaiting watches a job until all its tasks are on machines or done, or until it has waited beside room for longer
-// than maxWait without a start in between. It returns true in the latter case, and false too if time is up.
-func (p *platform) leftWaiting(spec *wire.JobSpec) bool {
+// than maxWait without a start in between. It returns true in the latter case. An error means that time was up before
+// either.
+func (p *platform) leftWaiting(spec *wire.JobSpec) (waited bool, err error) {
 	var since, polled time.Time
 	starts, box := 0, ""
 	for p.ctx.Err() == nil {
 		t := p.tally(spec)
 		if t.present+t.done >= spec.Tasks {
 			p.record.say("%s: all its tasks are on machines or done", spec.ID)
-			return false
+			return false, nil
 		}
 		name, room := p.hasRoom(spec)
 		switch {
@@ -51,7 +52,7 @@
 		case time.Since(since) > maxWait:
 			p.record.say("%s: %d of %d tasks on machines, %d done; it waits for %.1f s while %s has room for a task",
 				spec.ID, t.present, spec.Tasks, t.done, time.Since(since).Seconds(), name)
-			return true
+			return true, nil
 		}
 		if name != box {
 			box = name
@@ -63,5 +64,5 @@
 		}
 		time.Sleep(watchInterval)
 	}
-	return false
+	return false, fmt.Errorf("time is up before %s has started or waited long enough", spec.ID)
 }
