Pack the demand of a same-zone job in one zone

Cause: the autoscaler's demand kept a job's zone and spread, but not that all tasks must be in one zone. After a scale-out that the cloud filled in part, one member was counted on the machine of each zone, so that the plan wanted nothing, while the scheduler needs both in one zone. Trace: "scale-out requested zone=asansol count=2", "scale-out incomplete provisioned=1", "scale-out requested zone=salt-lake count=1", then no request in 100 s with "no-gang-room".

Change: the zone of such a demand is that of the job's tasks on machines that are not suspect; without any it is chosen in each plan: the first zone with room for all tasks, or the one in which the missing machines cost least. It works because the choice uses what is up, booting and requested, so what a partial answer leaves is completed in one zone.

--- a/internal/scheduling/autoscaler/demand.go
+++ b/internal/scheduling/autoscaler/demand.go
@@ -14,6 +14,7 @@
 	taskResources scheduler.Resources
 	types         []int32 // nil: any
 	zone          int32   // negative: any
+	sameZone      bool    // all tasks must be in one zone, which is chosen when the demand is packed if zone is negative
 	spot          bool
 	count         int
 	service       bool
@@ -122,6 +123,7 @@
 		purpose:       "demand of job " + j.Spec.ID,
 	}
 	d.applySpread(j)
+	d.applySameZone(j)
 	if j.Kind != model.Array {
 		return d
 	}
--- a/internal/scheduling/autoscaler/packing.go
+++ b/internal/scheduling/autoscaler/packing.go
@@ -27,6 +27,9 @@
 
 // pack places a demand's tasks on slots, and plans machines for the remaining ones.
 func (p *planner) pack(d *demand) {
+	if d.sameZone && d.zone < 0 {
+		d.zone = p.chooseZone(d)
+	}
 	pk := packing{planner: p, demand: d, remaining: d.count}
 	pk.fillSuitable()
 	pk.fillGPUMachines()
@@ -55,19 +58,21 @@
 	}
 }
 
-// fillSuitable places tasks on the machines that suit the demand. Machines with GPUs suit only tasks that use GPUs,
-// except that arrays may use those that are affordable.
+// suits reports whether the machine of a slot suits the demand: machines with GPUs suit only tasks that use GPUs.
+func (d *demand) suits(s *slot) bool { return d.taskResources.GPUs > 0 || s.total.GPUs == 0 }
+
+// fillSuitable places tasks on the machines that suit the demand. Arrays may also use machines with GPUs that are
+// affordable.
 func (k *packing) fillSuitable() {
 	d := k.demand
-	suits := func(s *slot) bool { return d.taskResources.GPUs > 0 || s.total.GPUs == 0 }
 	if d.maxPriceFactor == 0 {
-		k.fill(suits)
+		k.fill(d.suits)
 		return
 	}
 	// Machines in use are filled first because they are kept anyway, then affordable ones.
-	k.fill(func(s *slot) bool { return s.used && suits(s) })
+	k.fill(func(s *slot) bool { return s.used && d.suits(s) })
 	isAffordable := affordable(k.model, d)
-	k.fill(func(s *slot) bool { return (suits(s) || !d.standby) && isAffordable(s.offer) })
+	k.fill(func(s *slot) bool { return (d.suits(s) || !d.standby) && isAffordable(s.offer) })
 }
 
 // fillGPUMachines places a demand that needs no GPUs on machines with GPUs that are in use. Idle machines with GPUs
--- /dev/null
+++ b/internal/scheduling/autoscaler/rounds_test.go
@@ -0,0 +1,84 @@
+package autoscaler
+
+import (
+	"fmt"
+	"testing"
+
+	"fieldhill/internal/model"
+	"fieldhill/internal/scheduling/scheduler"
+)
+
+// testCloud runs plans and scheduling rounds on a test model in turn, with a cloud whose machines boot at once.
+type testCloud struct {
+	model      *model.Model
+	autoscaler *Autoscaler
+	scheduler  *scheduler.Scheduler
+	apply      func(*model.Entry)
+	available  map[InstanceOffer]int // machines that the cloud can still provision
+	now        model.Time
+}
+
+func newTestCloud(t *testing.T, cheap, expensive int) *testCloud {
+	t.Helper()
+	m, a, apply := newTestModel(t, cheap, expensive)
+	a.refusals = map[InstanceOffer]refusal{}
+	s := scheduler.New(scheduler.Params{Beta: 0.8, Threshold: 0.5, Objectives: a.Objectives})
+	return &testCloud{model: m, autoscaler: a, scheduler: s, apply: apply, available: map[InstanceOffer]int{}}
+}
+
+// Bind implements scheduler.Binder.
+func (c *testCloud) Bind(j *model.Job, task int32, attempt uint32, machine *model.Machine, _ float64) {
+	c.apply(model.NewPlacement(j.ID, task, attempt, machine.ID, machine.Contact.AgentEpoch))
+}
+
+// Preempt implements scheduler.Binder. The run ends at once.
+func (c *testCloud) Preempt(r *model.Run, _ bool, _ string) {
+	c.apply(model.NewAttemptEnd(r.Job.ID, r.Task, r.Attempt))
+}
+
+// step runs a plan, provisions what the plan requests as far as the cloud can, and runs a scheduling round, as a leader
+// does every half second.
+func (c *testCloud) step() {
+	c.now += 5e8
+	plan := c.autoscaler.Plan(c.model, c.now)
+	for _, scaleOut := range plan.ScaleOuts {
+		granted := min(scaleOut.Count, c.available[scaleOut.InstanceOffer])
+		for range granted {
+			c.boot(scaleOut.InstanceOffer)
+		}
+		if granted < scaleOut.Count {
+			c.autoscaler.OnRefused(scaleOut.InstanceOffer, c.now)
+		}
+	}
+	for _, machine := range plan.ScaleIn {
+		c.apply(model.NewMachineGone(machine.ID))
+	}
+	c.scheduler.ServiceHeadroom, c.scheduler.ServiceSlots = plan.ServiceHeadroom, plan.ServiceSlots
+	c.scheduler.LowPriorityAllowed, c.scheduler.DrainTarget = plan.LowPriorityAllowed, plan.DrainTarget
+	c.scheduler.Round(c.model, c.now, true, c)
+}
+
+// boot adds a machine of an offer that has booted.
+func (c *testCloud) boot(o InstanceOffer) *model.Machine {
+	c.available[o]--
+	id := c.model.NextMachine
+	c.apply(model.NewMachine(id, 0, &model.MachineInfo{
+		Name: fmt.Sprint("m", id), Type: c.model.TypeNames.Name(o.Type), Zone: c.model.Zones.Name(o.Zone), Spot: o.Spot,
+	}))
+	machine := c.model.Machines[id]
+	machine.Contact.Reported, machine.Contact.AgentEpoch, machine.Contact.KnownSince = true, 1, c.now
+	return machine
+}
+
+// runUntilPlaced runs steps until a job has no waiting tasks, for the given time at most.
+func (c *testCloud) runUntilPlaced(t *testing.T, id model.JobID, within model.Time) {
+	t.Helper()
+	j := c.model.Jobs[id]
+	for end := c.now + within; j.Waiting() > 0; {
+		if c.now >= end {
+			t.Fatalf("after %v, %d of %d tasks of %s wait: %v", within, j.Waiting(), len(j.Tasks), j.Spec.ID,
+				j.Scheduling.PendingReason)
+		}
+		c.step()
+	}
+}
