Let a running task prove that its job is not faulty, and provision for the next try

What callers saw: two of six replicas of a production service (review/7) were never started again, beside machines with room, until another controller led. Jobs that failed once on each of two faulty machines and were the only ones got no machine again.

Cause: a job that failed on two machines is faulty until a task of it completes, and replicas of a service never complete. While faulty, nothing is placed beside a task that is placed, nothing is provisioned, and no work yields. Trace: "job faulty, retrying with backoff failures=2", then pending_by_reason=map[faulty:2] in each workload summary, with four replicas running and "machine usage up=6".

A faulty job that is not backing off is tried as any other work, one task at a time or the whole gang: a machine is provisioned and less urgent work yields to that try. It works because a job with a mistake fails everywhere, so none of its tasks outlives the others for long, and because the next try no longer needs something that nobody gives.

--- a/internal/model/failure_attribution.go
+++ b/internal/model/failure_attribution.go
@@ -5,13 +5,14 @@
 // machine at once, and the outcome there decides:
 //
 //   - A job is faulty if none of its tasks ever completed and it failed on two machines. Its failures are not counted
-//     against any machine.
+//     against any machine. One task of it at a time is tried, or the whole gang, with a backoff.
 //   - A machine is cordoned, that is, it gets no new tasks, if two jobs that are not faulty failed on it and no task
 //     has completed on it since the first of these failures. It is quarantined permanently once both jobs completed a
 //     task elsewhere, or if they have still not proved faulty after cordonPeriod.
 //
 // Decisions use only the failures and completions reported so far. A completion clears the faulty state of its job and
-// the cordon of its machine.
+// the cordon of its machine. A task that clearly outlives the failed tasks of its job also clears the faulty state of the
+// job: replicas of a service never complete, and a task of an array may run for long.
 
 const (
 	// How long a job is not placed again on a machine where it failed.
@@ -22,17 +23,23 @@
 	// up to maxBackoffDoublings doublings.
 	faultyBackoff       = Time(2e9)
 	maxBackoffDoublings = 5
+	// How long a task must have run to prove that its job is not faulty: minProvingRun, and provingRunFactor times as
+	// long as the longest run of its failed tasks.
+	minProvingRun    = Time(10e9)
+	provingRunFactor = 2
 	// Number of machines on which a job must fail to be faulty.
 	minFaultyMachines = 2
 	// Number of non-faulty jobs that must fail on a machine for the machine to be cordoned.
 	minFailedJobs = 2
 )
 
-// attributeFailure records a failure of a job on a machine. If the job is faulty and not backing off, it starts a
+// attributeFailure records the failure of a run on a machine. If the job is faulty and not backing off, it starts a
 // backoff. It also updates whether the machine is cordoned or quarantined. It reports whether the failure made the job
 // faulty.
-func attributeFailure(machine *Machine, j *Job, now Time) (becameFaulty bool) {
+func attributeFailure(machine *Machine, run *Run, now Time) (becameFaulty bool) {
+	j := run.Job
 	machine.Health.addFailure(j)
+	j.Observed.longestFailure = max(j.Observed.longestFailure, run.runningFor(now))
 	if becameFaulty = j.addFailure(machine.ID, now); j.Observed.Faulty && now >= j.Scheduling.NotBefore {
 		// The backoff doubles at most once per retry of the job, since tasks that run at the same time also fail
 		// together.
@@ -58,12 +65,20 @@
 	return true
 }
 
-// clearFailures clears the job's faulty state. It is called when one of its tasks completes, which proves that the job
-// is not faulty.
-func (j *Job) clearFailures() {
-	if j.Observed.Faulty {
+// clearFailures clears the job's faulty state, and reports whether the job was faulty. It is called when one of its
+// tasks completes or outlives the failed ones, which proves that the job is not faulty.
+func (j *Job) clearFailures() (wasFaulty bool) {
+	if wasFaulty = j.Observed.Faulty; wasFaulty {
 		j.Observed.Faulty, j.Observed.backoffs, j.Scheduling.NotBefore = false, 0, 0
 	}
+	return wasFaulty
+}
+
+// outlivesFailures reports whether the run proves that its job is not faulty. Members of a gang prove nothing: they run
+// on until they notice that another member has failed.
+func (r *Run) outlivesFailures(now Time) bool {
+	required := max(minProvingRun, provingRunFactor*r.Job.Observed.longestFailure)
+	return r.Job.Kind != Gang && r.runningFor(now) >= required
 }
 
 // addFailure records a failure of a job on the machine.
--- a/internal/model/observe.go
+++ b/internal/model/observe.go
@@ -36,6 +36,7 @@
 	Freshness         staleness.Freshness // Stale and Unproven reports do not prove the machine's current state
 	Entries           []*Entry            // entries to log and apply
 	Faulty            []*Job              // jobs that this report shows to be faulty
+	Cleared           []*Job              // jobs that were faulty and that this report shows not to be
 	Slow              bool                // the report shows the machine to be slow
 	GangReadyMachines []*Machine          // machines whose held gang members may be started now
 	NeedsProbe        bool                // the report ends runs if it is current; a probe must confirm that it is
@@ -236,6 +237,16 @@
 	if run.Phase >= Running && run.StartedAt == 0 {
 		run.StartedAt = o.now
 	}
+	if run.Job.Observed.Faulty && run.outlivesFailures(o.now) {
+		o.clearFaulty(run.Job)
+	}
+}
+
+// clearFaulty clears the faulty state of a job that the report shows not to be faulty.
+func (o *observation) clearFaulty(j *Job) {
+	if j.clearFailures() {
+		o.verdict.Cleared = append(o.verdict.Cleared, j)
+	}
 }
 
 // handleExit evaluates a run that is listed as exited. It logs the completion or the end of the attempt, once that is
@@ -259,7 +270,7 @@
 		o.log(NewCompletion(k.job, k.task, k.attempt))
 		return
 	case wire.CauseError:
-		if attributeFailure(o.machine, run.Job, o.now) {
+		if attributeFailure(o.machine, run, o.now) {
 			o.verdict.Faulty = append(o.verdict.Faulty, run.Job)
 		}
 	case wire.CauseNoCapacity, wire.CauseBusy, wire.CauseUnknown:
@@ -272,7 +283,7 @@
 // and records the duration.
 func (o *observation) recordCompletion(run *Run) {
 	o.machine.Health.clearFailures()
-	run.Job.clearFailures()
+	o.clearFaulty(run.Job)
 	if o.model.recordDuration(o.machine, run, o.now) {
 		o.machine.Health.markSlow(o.now)
 		o.verdict.Slow = true
--- a/internal/model/run.go
+++ b/internal/model/run.go
@@ -40,6 +40,14 @@
 	return r.Phase == Unseen && !r.Inherited && r.PlacedSeq > committed
 }
 
+// runningFor returns the time since the run was first observed running; 0 if it never was.
+func (r *Run) runningFor(now Time) Time {
+	if r.StartedAt == 0 {
+		return 0
+	}
+	return now - r.StartedAt
+}
+
 // IsWanted reports whether the run should continue: it is neither to be stopped nor part of a cancelled job.
 func (r *Run) IsWanted() bool { return !r.Stop && !r.Job.Cancelled }
 
--- a/internal/scheduling/autoscaler/demand.go
+++ b/internal/scheduling/autoscaler/demand.go
@@ -73,9 +73,10 @@
 	var urgent, low []demand
 	expiring, preemptible := runningDemand(m)
 	for _, j := range jobs {
-		n := j.Waiting() + expiring[j]
-		if n == 0 && !isPreemptible(j) || j.Team == nil || j.Cancelled || j.Observed.Faulty {
-			continue // nothing to place, or a job that does not justify provisioning machines, such as a faulty one
+		n := j.Placeable() + expiring[j]
+		if n == 0 && !isPreemptible(j) || j.Team == nil || j.Cancelled ||
+			j.Observed.Faulty && now < j.Scheduling.NotBefore {
+			continue // nothing to place now, or a job that does not justify provisioning machines
 		}
 		n = min(n, remainingTeamQuota(j, preemptible)+expiring[j])
 		d := a.jobDemand(m, j, n, now)
--- a/internal/scheduling/scheduler/gang.go
+++ b/internal/scheduling/scheduler/gang.go
@@ -193,12 +193,12 @@
 }
 
 // claimCapacity claims resources for all members where preemption costs least, in a single zone if the gang requires
-// it. If no zone has enough, the first such gang in the queue claims what is available in the best zone. Without this,
-// smaller gangs that keep arriving would keep a multi-machine gang waiting indefinitely. claimCapacity reports whether
-// the claims suffice for all members.
+// it. If no zone has enough, the first such gang in the queue that is not faulty claims what is available in the best
+// zone. Without this, smaller gangs that keep arriving would keep a multi-machine gang waiting indefinitely.
+// claimCapacity reports whether the claims suffice for all members.
 func (g *gangPlacement) claimCapacity() bool {
 	r, j := g.round, g.job
-	if j.Spec.Spread || j.Observed.Faulty {
+	if j.Spec.Spread {
 		return false
 	}
 	failedBefore := j.Observed.FailedOn != nil
@@ -212,7 +212,7 @@
 		if !failedBefore {
 			r.infeasible.gangs = append(r.infeasible.gangs, demand)
 		}
-		if r.partialGangClaimed {
+		if r.partialGangClaimed || j.Observed.Faulty {
 			return false
 		}
 		r.partialGangClaimed = true
--- a/internal/scheduling/scheduler/preempt.go
+++ b/internal/scheduling/scheduler/preempt.go
@@ -94,10 +94,11 @@
 
 // preemptForTask claims resources for the waiting tasks of a job that has found no free machine: resources that
 // preempted tasks are releasing already, or else those where preemption costs least. It preempts only once the job has
-// waited for its preemption delay. It reports whether the claims suffice for all waiting tasks, up to maxClaims.
+// waited for its preemption delay. It reports whether the claims suffice for all tasks that may be placed, up to
+// maxClaims.
 func (r *round) preemptForTask(p *jobPlacement) bool {
 	j := p.job
-	if j.Priority == model.Low && (!j.Scheduling.Guaranteed || j.Scheduling.Deferrable) || j.Observed.Faulty {
+	if j.Priority == model.Low && (!j.Scheduling.Guaranteed || j.Scheduling.Deferrable) {
 		return false
 	}
 	key := preemptionKeyOf(j)
@@ -149,7 +150,7 @@
 	j := c.job
 	heap.Init(&choices)
 	claimedInZone := map[int32]int{} // number of tasks with a claim, by zone
-	unclaimed := min(j.Waiting(), maxClaims)
+	unclaimed := min(j.Placeable(), maxClaims)
 	for unclaimed > 0 && len(choices) > 0 {
 		best := &choices[0]
 		if zone := best.view.machine.Zone; j.Spec.Spread {
--- a/internal/scheduling/scheduler/queue.go
+++ b/internal/scheduling/scheduler/queue.go
@@ -147,7 +147,7 @@
 				Remaining: j.Scheduling.NotBefore - now,
 			}
 			continue
-		case j.Observed.Faulty && j.Kind != model.Gang && j.PlacedTasks > 0:
+		case j.Placeable() == 0:
 			j.Scheduling.PendingReason = pending.Reason{Code: pending.Faulty, Count: j.Observed.Errors}
 			continue
 		}
--- a/internal/scheduling/scheduler/team_quota.go
+++ b/internal/scheduling/scheduler/team_quota.go
@@ -97,7 +97,7 @@
 // teamPreemption computes the shortfall for n more tasks of a job, and reports whether they would be within the team
 // limit if all less urgent work of the team were preempted.
 func (r *round) teamPreemption(j *model.Job, n int) (shortfall teamShortfall, feasible bool) {
-	if j.Team == nil || j.Priority == model.Low || j.Observed.Faulty {
+	if j.Team == nil || j.Priority == model.Low {
 		return shortfall, false
 	}
 	shortfall.cpus, shortfall.gpus = r.quota.shortfall(j, n)
