Keep as much ready for services as other work leaves free for them, and no less

Cause: two formulas for the room of services that must start at once. The plan kept what arrives during a boot plus the largest job of the class; the scheduler left free eight seconds of arrivals plus 1.5 times the largest job. With few arrivals, and with none seen by a new leader, the plan's figure is the smaller one: it found room for the waiting tasks and requested nothing, and the scheduler didn't let them use it. Trace: "scale-out requested count=1", 34 of 38 started, then "job pending reason=no-room tasks=4" and no request for 90 s, without a refusal and far from the team's limit.

Change: the standby demand of a class is at least its headroom, and the headroom is at most what that demand has on machines without GPUs or is requested there. It works because the standby is packed after the waiting tasks: what they may not use is there besides their own room, or on its way; where the cloud has nothing to give, they may use it. "workload summary" has service_headroom_cpus: the log could not tell the headroom from a lack of room.

--- a/internal/controller/telemetry.go
+++ b/internal/controller/telemetry.go
@@ -141,7 +141,7 @@
 	}
 	term.telemetry.loggedReasons = logged
 	tm.log.Info("workload summary", "jobs", len(tm.replica.model.Jobs), "pending_by_class", classes,
-		"pending_by_reason", reasons)
+		"pending_by_reason", reasons, "service_headroom_cpus", tm.rounds.scheduler.ServiceHeadroom)
 	tm.logCompletionSummaries()
 }
 
--- a/internal/scheduling/autoscaler/demand.go
+++ b/internal/scheduling/autoscaler/demand.go
@@ -19,8 +19,9 @@
 	count         int
 	service       bool
 	priority      model.Priority
-	standby       bool   // room for expected arrivals, not waiting work
-	purpose       string // what the tasks are for; logged
+	standby       bool    // room for expected arrivals, not waiting work
+	headroomCPUs  float64 // CPUs that work below production priority is to leave free for the expected arrivals
+	purpose       string  // what the tasks are for; logged
 	// maxPriceFactor limits the price per task to this multiple of the price on the cheapest suitable offer; 0: no
 	// limit.
 	maxPriceFactor float64
@@ -67,9 +68,8 @@
 	}
 }
 
-// demands returns all demand, most urgent first, and the number of CPUs that work below production priority must leave
-// free for services.
-func (a *Autoscaler) demands(m *model.Model, jobs []*model.Job, now model.Time) (all []demand, headroom float64) {
+// demands returns all demand, most urgent first.
+func (a *Autoscaler) demands(m *model.Model, jobs []*model.Job, now model.Time) []demand {
 	var urgent, low []demand
 	expiring, preemptible := runningDemand(m)
 	for _, j := range jobs {
@@ -86,9 +86,9 @@
 			urgent = append(urgent, d)
 		}
 	}
-	standby, headroom := a.standbyDemands(m, jobs, now)
+	standby := a.standbyDemands(m, jobs, now)
 	sort.SliceStable(urgent, func(i, k int) bool { return urgent[i].priority > urgent[k].priority })
-	return slices.Concat(urgent, standby, low), headroom
+	return slices.Concat(urgent, standby, low)
 }
 
 // runningDemand returns, by job, the number of gang and service tasks placed on suspect machines, and by team, the
--- a/internal/scheduling/autoscaler/packing.go
+++ b/internal/scheduling/autoscaler/packing.go
@@ -18,6 +18,10 @@
 	*planner
 	demand    *demand
 	remaining int // tasks not yet placed
+	// withoutGPUs is the number of tasks placed on machines without GPUs, including planned ones.
+	withoutGPUs int
+	// unavailable reports that no machine can be requested for the remaining tasks.
+	unavailable bool
 }
 
 // slotFilter reports whether a slot is acceptable.
@@ -34,14 +38,34 @@
 	pk.fillSuitable()
 	pk.fillGPUMachines()
 	pk.scaleOut()
+	p.plan.ServiceHeadroom += pk.headroom()
+}
+
+// headroom returns the number of CPUs that other work leaves free for the expected arrivals of a standby demand: no more
+// than the demand has on machines without GPUs or will get there. Otherwise, tasks would wait for machines that
+// nobody requests, beside free CPUs.
+func (k *packing) headroom() float64 {
+	tasks := k.withoutGPUs
+	if !k.unavailable {
+		tasks += k.remaining // requested by the next plans
+	}
+	return min(k.demand.headroomCPUs, float64(tasks)*k.demand.taskResources.CPUs)
+}
+
+// place places a task on a slot.
+func (k *packing) place(s *slot) {
+	k.demand.placeTask(s)
+	k.remaining--
+	if s.total.GPUs == 0 {
+		k.withoutGPUs++
+	}
 }
 
 // fillSlot places tasks on a slot while the filter accepts it, the constraints allow it and the tasks fit.
 func (k *packing) fillSlot(s *slot, allowed slotFilter) {
 	d := k.demand
 	for k.remaining > 0 && allowed(s) && s.free.Contains(d.taskResources) && d.canUse(s) {
-		d.placeTask(s)
-		k.remaining--
+		k.place(s)
 		if d.service && !d.standby && s.machine != nil && s.total.GPUs > 0 {
 			k.plan.ServiceSlots[s.machine]++
 		}
@@ -112,6 +136,7 @@
 		}
 		if !ok || d.taskResources.GPUs == 0 && d.standby && withGPUs {
 			// Machines with GPUs are not provisioned as standby for work that needs no GPUs.
+			k.unavailable = true
 			return
 		}
 		k.planMachine(o)
@@ -138,8 +163,7 @@
 	total := scheduler.TypeCapacity(&k.model.Types[o.Type])
 	s := &slot{offer: o, total: total, free: total, used: true, planned: true, purpose: d.purpose}
 	for k.remaining > 0 && s.free.Contains(d.taskResources) && d.allows(o) {
-		d.placeTask(s)
-		k.remaining--
+		k.place(s)
 	}
 	k.slots = append(k.slots, s)
 }
--- a/internal/scheduling/autoscaler/plan.go
+++ b/internal/scheduling/autoscaler/plan.go
@@ -38,14 +38,12 @@
 	a.arrivals.observe(m, jobs, now)
 	a.observeFleet(m)
 	p := planner{autoscaler: a, model: m, now: now, slots: a.slots(m, now), usedBeforeBatch: map[*slot]bool{}}
-	demands, headroom := a.demands(m, jobs, now)
 	p.plan = Plan{
-		ServiceHeadroom:    headroom,
 		Draining:           map[*model.Machine]bool{},
 		ServiceSlots:       map[*model.Machine]int{},
 		LowPriorityAllowed: map[*model.Machine]bool{},
 	}
-	p.packAll(demands)
+	p.packAll(a.demands(m, jobs, now))
 	p.displaceGangs()
 	if p.affordableOffers == nil {
 		p.plan.DrainTarget = p.selectDrainTarget()
--- a/internal/scheduling/autoscaler/standby.go
+++ b/internal/scheduling/autoscaler/standby.go
@@ -24,11 +24,8 @@
 	standbyPriceFactor = 6
 )
 
-// standbyDemands returns the standby demand of each class that needs it, in the order of class IDs, and the number of
-// CPUs that work below production priority must leave free for services.
-func (a *Autoscaler) standbyDemands(m *model.Model, jobs []*model.Job, now model.Time) ([]demand, float64) {
-	var standby []demand
-	headroom := 0.0
+// standbyDemands returns the standby demand of each class that needs it, in the order of class IDs.
+func (a *Autoscaler) standbyDemands(m *model.Model, jobs []*model.Job, now model.Time) (standby []demand) {
 	for _, id := range slices.Sorted(maps.Keys(a.arrivals.classes)) {
 		c := a.arrivals.classes[id]
 		targetSeconds, ok := config.StartWithin(a.Objectives, m.Classes.Name(id))
@@ -40,23 +37,26 @@
 			continue // a machine can be provisioned within the start objective
 		}
 		rate := a.arrivals.tasksPerSecond(c, now)
-		var expected float64
+		var expected, headroom float64 // numbers of tasks
 		switch c.kind {
 		case model.Service:
 			expected = expectedServiceTasks(c, rate, boot)
 			// Low-priority work is preempted within preemptSeconds; only services that must start sooner need resources
 			// that are already free.
 			if targetSeconds-fetch < preemptSeconds {
-				headroom += (rate*2*preemptSeconds + 1.5*c.largestJobTasks) * c.taskResources.CPUs
+				headroom = rate*2*preemptSeconds + 1.5*c.largestJobTasks
 			}
 		case model.Gang:
 			expected = expectedGangTasks(c, rate, boot, fetch, liveTasks(jobs, id))
 		}
-		if n := int(math.Ceil(expected)); n > 0 {
-			standby = append(standby, c.standby(n, m.Classes.Name(id)))
+		// With less standby than headroom, the plan would find room for tasks that have to leave it free for services.
+		if n := int(math.Ceil(max(expected, headroom))); n > 0 {
+			d := c.standby(n, m.Classes.Name(id))
+			d.headroomCPUs = headroom * c.taskResources.CPUs
+			standby = append(standby, d)
 		}
 	}
-	return standby, headroom
+	return standby
 }
 
 // expectedServiceTasks returns how many tasks of a service class may arrive while a machine boots: the mean plus two
--- /dev/null
+++ b/internal/scheduling/autoscaler/standby_test.go
@@ -0,0 +1,35 @@
+package autoscaler
+
+import (
+	"fmt"
+	"testing"
+
+	"fieldhill/internal/model"
+	"fieldhill/wire"
+)
+
+// TestTasksWaitForeverBesideServiceHeadroom guards against tasks that wait beside CPUs left free for services while
+// nothing is provisioned, because the plan keeps fewer CPUs ready for services than the scheduler leaves free for them.
+// A new leader, which has seen no arrivals, plans the least.
+func TestTasksWaitForeverBesideServiceHeadroom(t *testing.T) {
+	for _, available := range []int{10, 0} {
+		t.Run(fmt.Sprint(available, " machines available"), func(t *testing.T) {
+			c := newTestCloud(t, 5, 0)
+			c.available[InstanceOffer{}] = available
+			c.autoscaler.Objectives[0].WithinS = 1
+			c.apply(model.NewAcceptance(webService(1, 3), 0))
+			for task, machine := range []model.MachineID{1, 1, 2} {
+				c.Bind(c.model.Jobs[1], int32(task), 1, c.model.Machines[machine], 0)
+			}
+			c.step()
+			batch := webService(2, 13)
+			batch.Class, batch.Shape, batch.Priority, batch.CPUs, batch.MemoryGB = "batch", wire.Array, wire.Normal, 1, 1
+			batch.EstimateS = 300
+			c.apply(model.NewAcceptance(batch, 0))
+			c.runUntilPlaced(t, 2, 60e9)
+			if c.scheduler.ServiceHeadroom <= 0 {
+				t.Error("no CPUs are left free for services")
+			}
+		})
+	}
+}
