Bound the number of tasks on a machine by what its report can list

Cause: a machine's room was CPUs, GPUs and memory only, so that tasks that need next to nothing of these fit without end. The plan counted one by one how many fit on an empty machine, to 2^31; and machines got up to 1,600 tasks, whose reports are larger than a message may be.

Change: a machine has room for model.MaxMachineTasks tasks, a resource like the others in scheduler, preemption, autoscaler and explanation. How many tasks fit is computed instead of counted. It works because no machine's report can grow over the limit, and no loop over the tasks of a machine over the bound, whatever is submitted.

--- a/internal/model/catalog.go
+++ b/internal/model/catalog.go
@@ -49,12 +49,20 @@
 // TypeOf returns the catalog's entry for the type of a machine. The pointer is valid until a type is added.
 func (c *catalog) TypeOf(machine *Machine) *Type { return &c.Types[machine.Type] }
 
+// The report of a machine lists its tasks and those that have ended since it received an answer, which makes up to two
+// generations of tasks. maxTaskStatusBytes is the size of the status of one task in the JSON form.
+const maxTaskStatusBytes = 85
+
+// MaxMachineTasks is the maximum number of tasks on a machine. With more, its report might exceed the size limit of a
+// message, and its lease could not be renewed.
+const MaxMachineTasks = wire.MaxBody / (2 * maxTaskStatusBytes)
+
 // Fits reports whether a machine has enough free resources for a task of the job. It is false if the cloud has not
 // described the machine's type.
 func (c *catalog) Fits(j *Job, machine *Machine) bool {
 	t := &c.Types[machine.Type]
 	return t.Known && machine.CPUs+j.Spec.CPUs <= t.CPUs+epsilon && machine.GPUs+j.Spec.GPUs <= t.GPUs+epsilon &&
-		machine.Mem+j.Spec.MemoryGB <= t.MemoryGB+epsilon
+		machine.Mem+j.Spec.MemoryGB <= t.MemoryGB+epsilon && len(machine.Runs) < MaxMachineTasks
 }
 
 // zonesFor returns the zones that the job allows and in which the cloud offers an allowed machine type that is large
--- a/internal/model/machine.go
+++ b/internal/model/machine.go
@@ -19,7 +19,7 @@
 
 // ReservedResources is the part of a machine's resources that is used by services without GPUs, which are not
 // preempted.
-type ReservedResources struct{ CPUs, GPUs, Mem float64 }
+type ReservedResources struct{ CPUs, GPUs, Mem, Tasks float64 }
 
 // Machine is a provisioned machine that is not known to be gone. Its own fields are replicated, except the inferred
 // image cache. What the current leader has observed and decided is in Contact, Health and Lifecycle.
--- a/internal/model/run.go
+++ b/internal/model/run.go
@@ -89,6 +89,7 @@
 	if r.Job.Kind == Service && s.GPUs == 0 {
 		machine.Reserved.CPUs += sign * s.CPUs
 		machine.Reserved.Mem += sign * s.MemoryGB
+		machine.Reserved.Tasks += sign
 	}
 	if len(machine.Runs) == 0 {
 		// Without runs the usage is zero. Setting it removes accumulated rounding errors.
--- a/internal/scheduling/autoscaler/offers.go
+++ b/internal/scheduling/autoscaler/offers.go
@@ -78,10 +78,7 @@
 // if no task fits on the machine or may run there.
 func pricePerTask(m *model.Model, d *demand, o InstanceOffer, remaining int) (float64, bool) {
 	t := &m.Types[o.Type]
-	fit := 0
-	for r := scheduler.TypeCapacity(t); fit < remaining && r.Contains(d.taskResources); fit++ {
-		r = r.Minus(d.taskResources)
-	}
+	fit := scheduler.TypeCapacity(t).Count(d.taskResources, remaining)
 	if !t.Known || fit == 0 || !d.allows(o) {
 		return 0, false
 	}
--- a/internal/scheduling/autoscaler/same_zone.go
+++ b/internal/scheduling/autoscaler/same_zone.go
@@ -59,9 +59,7 @@
 		if !d.suits(s) || !d.canUse(s) || d.maxPriceFactor > 0 && !s.used && !isAffordable(s.offer) {
 			continue
 		}
-		for free := s.free; room[zone] < d.count && free.Contains(d.taskResources); room[zone]++ {
-			free = free.Minus(d.taskResources)
-		}
+		room[zone] += s.free.Count(d.taskResources, d.count-room[zone])
 		if room[zone] >= d.count {
 			return room, zone
 		}
--- a/internal/scheduling/explanation/simulation.go
+++ b/internal/scheduling/explanation/simulation.go
@@ -119,12 +119,10 @@
 		if !s.fits(machine) || !machine.IsUsable() {
 			return false
 		}
-		used := scheduler.Resources{CPUs: machine.CPUs, GPUs: machine.GPUs, MemoryGB: machine.Mem}
-		free := s.capacity(machine).Minus(used)
-		for ; free.Contains(need) && placeable < s.job.Waiting(); placeable++ {
-			free = free.Minus(need)
-		}
-		return !free.Contains(need)
+		free := s.capacity(machine).Minus(scheduler.Used(machine))
+		fits := free.Count(need, s.job.Waiting()-placeable)
+		placeable += fits
+		return !free.Minus(need.Scaled(float64(fits))).Contains(need)
 	})
 	r.Unit, r.Need = "CPUs", need.CPUs
 	return r, placeable < s.job.Waiting()
--- a/internal/scheduling/scheduler/gang.go
+++ b/internal/scheduling/scheduler/gang.go
@@ -178,7 +178,7 @@
 		}
 		for k := 1.0; len(plan) < g.members && perZone[candidateZone] < maxPerZone; k++ {
 			g.round.examined++
-			if !g.round.hasResources(g.job, c.view, g.need.scaled(k)) {
+			if !g.round.hasResources(g.job, c.view, g.need.Scaled(k)) {
 				break
 			}
 			perZone[candidateZone]++
@@ -288,7 +288,7 @@
 	r, j := g.round, g.job
 	previousCost := 0.0
 	for k := 1.0; int(k) <= g.members; k++ {
-		need := g.need.scaled(k)
+		need := g.need.Scaled(k)
 		if !view.unclaimedWithoutServices().Contains(need) {
 			break
 		}
--- a/internal/scheduling/scheduler/preempt.go
+++ b/internal/scheduling/scheduler/preempt.go
@@ -192,7 +192,7 @@
 	need Resources,
 	maxPriority model.Priority,
 ) (runs []*model.Run, cost float64, ok bool) {
-	available := view.capacity.Minus(used(view.machine)).Plus(view.stoppingResources()).Minus(view.claimed)
+	available := view.capacity.Minus(Used(view.machine)).Plus(view.stoppingResources()).Minus(view.claimed)
 	if available.Contains(need) {
 		return nil, 0, true
 	}
--- a/internal/scheduling/scheduler/round.go
+++ b/internal/scheduling/scheduler/round.go
@@ -117,7 +117,7 @@
 // and not to be left free for services.
 func (r *round) hasResources(j *model.Job, view *machineView, need Resources) bool {
 	machine, total := view.machine, view.capacity
-	free := total.Minus(used(machine))
+	free := total.Minus(Used(machine))
 	if !free.Contains(need) {
 		return false
 	}
