Let the tests of a zone without controllers make sure of their premise

Such a machine is kept while its zone is partitioned, since releasing it gains nothing (package health), and was released when the zone no longer counted as partitioned.

The bounds are as they were.

--- a/internal/controller/staleness_test.go
+++ b/internal/controller/staleness_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"fieldhill/internal/emulator"
+	"fieldhill/internal/model"
 	"fieldhill/wire"
 )
 
@@ -294,9 +295,8 @@
 }
 
 // zoneWithoutController moves all controllers into zone a and submits services and arrays: two services may run
-// anywhere, three must run in zone b, and arrays that may run anywhere fill the remaining capacity of the machines.
-// Each machine of zone b then holds a task that may run in zone a too. It returns the machines of zone b that hold
-// tasks.
+// anywhere, three must run in zone b, and arrays that may run anywhere fill the remaining capacity of the machines, until
+// each machine of zone b holds a task that may run in zone a too. It returns the machines of zone b that hold such tasks.
 func zoneWithoutController(w *emulator.Environment) (busy []*emulator.Worker) {
 	for i := range 3 {
 		w.StopAndWait(i)
@@ -314,9 +314,21 @@
 		w.Submit(newHighArray(n, 2, 0.5, 500))
 	}
 	time.Sleep(40 * time.Second)
-	return slices.DeleteFunc(busyMachines(w), func(worker *emulator.Worker) bool { return worker.Zone != zone })
+	isZoneBound := func(worker *emulator.Worker) bool {
+		return worker.Zone != zone || tasksOn(map[string]bool{worker.Name: true}, isMovable) == 0
+	}
+	for n := 13; n <= 24 && slices.ContainsFunc(busyMachines(w), func(worker *emulator.Worker) bool {
+		return worker.Zone == zone && isZoneBound(worker)
+	}); n++ {
+		w.Submit(newHighArray(n, 2, 0.5, 500))
+		time.Sleep(3 * time.Second)
+	}
+	return slices.DeleteFunc(busyMachines(w), isZoneBound)
 }
 
+// isMovable reports whether a run's task may run in any zone.
+func isMovable(run *model.Run) bool { return run.Job.Zone < 0 }
+
 // TestZoneWithoutController checks the time until the tasks of a partitioned zone without controllers are evicted. If
 // all controllers are reachable, they prove that none of them has renewed the leases of that zone's machines, and the
 // machines are released as soon as the leases have expired. An unreachable controller may have renewed the leases, so
@@ -361,19 +373,21 @@
 	for _, worker := range zoneMachines(w, "b") {
 		partitioned[worker.Name] = true
 	}
-	for tasksOn(partitioned) > 0 && time.Since(began) < 90*time.Second {
+	for tasksOn(partitioned, func(*model.Run) bool { return true }) > 0 && time.Since(began) < 90*time.Second {
 		time.Sleep(200 * time.Millisecond)
 	}
 	return time.Since(began)
 }
 
-// tasksOn returns how many tasks the leader's model places on the given machines.
-func tasksOn(machines map[string]bool) (tasks int) {
+// tasksOn returns how many tasks for which counts returns true the leader's model places on the given machines.
+func tasksOn(machines map[string]bool, counts func(*model.Run) bool) (tasks int) {
 	leader := nodeAt(findLeader())
 	leader.loop.postAndWait(func() {
 		for _, machine := range leader.replica.model.MachinesInOrder {
-			if machines[machine.Info.Name] {
-				tasks += len(machine.Runs)
+			for _, run := range machine.Runs {
+				if machines[machine.Info.Name] && counts(run) {
+					tasks++
+				}
 			}
 		}
 	})
