End the quarantine of a machine that cannot be vacated

Cause: nothing ended a quarantine. It was meant for machines that are vacated and released, but a machine with a service that may run nowhere else is never empty; and jobs that may run on one machine never prove faulty, which takes two.

Change: a quarantine ends when the jobs behind it are cancelled without a completion or prove faulty, and after 60 s in any case; the leader logs "machine no longer quarantined". It works because a verdict then rests on failures of the last 70 s: a sound machine is used again, a faulty one is quarantined again after two failed tasks.

--- a/internal/controller/machine_health.go
+++ b/internal/controller/machine_health.go
@@ -133,15 +133,19 @@
 	if checkSlow && mh.replica.model.DetectSlow(machine, now) {
 		mh.heartbeats.logSlow(machine)
 	}
-	if machine.Health.CordonedSince == 0 || machine.Health.Quarantined {
+	if machine.Health.CordonedSince == 0 {
 		return
 	}
+	wasQuarantined := machine.Health.Quarantined
 	mh.replica.model.UpdateQuarantine(machine, now)
 	switch {
-	case machine.Health.Quarantined:
+	case machine.Health.Quarantined && !wasQuarantined:
 		mh.heartbeats.logQuarantined(machine)
 	case machine.Health.CordonedSince == 0:
-		mh.loop.requestRound() // the machine is usable again: the jobs that failed on it fail on other machines too
+		mh.loop.requestRound() // the machine is usable again
+		if wasQuarantined {
+			mh.log.Info("machine no longer quarantined", "machine", machine.Info.Name, "tasks", len(machine.Runs))
+		}
 	}
 }
 
--- a/internal/model/failure_attribution.go
+++ b/internal/model/failure_attribution.go
@@ -7,8 +7,10 @@
 //   - A job is faulty if none of its tasks ever completed and it failed on two machines. Its failures are not counted
 //     against any machine. One task of it at a time is tried, or the whole gang, with a backoff.
 //   - A machine is cordoned, that is, it gets no new tasks, if two jobs that are not faulty failed on it and no task
-//     has completed on it since the first of these failures. It is quarantined permanently once both jobs completed a
-//     task elsewhere, or if they have still not proved faulty after cordonPeriod.
+//     has completed on it since the first of these failures. It is quarantined once both jobs completed a task
+//     elsewhere, or if they have still not proved faulty after cordonPeriod. Its tasks then move to other machines, and
+//     it is released when it is empty. A machine that cannot be vacated leaves quarantine after quarantinePeriod, or
+//     once the jobs are cancelled or prove faulty: jobs that may run on one machine only never prove faulty.
 //
 // Decisions use only the failures and completions reported so far. A completion clears the faulty state of its job and
 // the cordon of its machine. A task that clearly outlives the failed tasks of its job also clears the faulty state of the
@@ -19,6 +21,8 @@
 	avoidPeriod = Time(60e9)
 	// How long a machine stays cordoned before it is quarantined, unless the jobs that failed on it prove faulty.
 	cordonPeriod = Time(10e9)
+	// How long a machine stays quarantined before tasks are tried on it again.
+	quarantinePeriod = Time(60e9)
 	// Base of the exponential backoff of a faulty job. The first backoff is twice as long and each further one doubles,
 	// up to maxBackoffDoublings doublings.
 	faultyBackoff       = Time(2e9)
@@ -90,10 +94,17 @@
 	h.FailedJobs[j.ID] = j
 }
 
-// clearFailures clears the machine's failures and its cordon. It is called when a task completes on the machine, which
-// proves that not every task fails there.
+// onCompletion clears the machine's failures and its cordon, unless it is quarantined already, when a task completes on
+// the machine. The completion proves that not every task fails there.
+func (h *MachineHealth) onCompletion() {
+	if !h.Quarantined {
+		h.clearFailures()
+	}
+}
+
+// clearFailures clears the machine's failures, its cordon and its quarantine.
 func (h *MachineHealth) clearFailures() {
-	h.Failures, h.FailedJobs, h.CordonedSince = 0, nil, 0
+	h.Failures, h.FailedJobs, h.CordonedSince, h.Quarantined = 0, nil, 0, false
 }
 
 // UpdateQuarantine re-evaluates whether a machine is cordoned or quarantined: tasks of the jobs that failed on it may
@@ -112,13 +123,18 @@
 			nonFaultyJobs++
 		}
 	}
+	if nonFaultyJobs < minFailedJobs {
+		h.CordonedSince, h.Quarantined = 0, false
+		return
+	}
+	if h.CordonedSince == 0 {
+		h.CordonedSince = max(now, 1)
+	}
+	cordonedFor := now - h.CordonedSince
 	switch {
-	case h.Quarantined:
-	case nonFaultyJobs < minFailedJobs:
-		h.CordonedSince = 0
-	case completedJobs >= minFailedJobs || h.CordonedSince != 0 && now-h.CordonedSince > cordonPeriod:
+	case cordonedFor > cordonPeriod+quarantinePeriod:
+		h.clearFailures()
+	case completedJobs >= minFailedJobs || cordonedFor > cordonPeriod:
 		h.Quarantined = true
-	case h.CordonedSince == 0:
-		h.CordonedSince = max(now, 1)
 	}
 }
--- a/internal/model/failure_attribution_test.go
+++ b/internal/model/failure_attribution_test.go
@@ -52,3 +52,40 @@
 		}
 	}
 }
+
+// TestMachineStaysQuarantinedForGood guards against a machine that never gets a task again, because two jobs that may
+// run on no other machine failed there.
+func TestMachineStaysQuarantinedForGood(t *testing.T) {
+	const quarantined, ended = 12e9, 12e9 + quarantinePeriod
+	for _, c := range []struct {
+		name   string
+		change func(failed []*Job)
+		until  Time
+	}{
+		{"jobs neither cancelled nor faulty", func([]*Job) {}, ended},
+		{"one cancelled", func(failed []*Job) { failed[0].Cancelled = true }, quarantined},
+		{"one faulty", func(failed []*Job) { failed[1].Observed.Faulty = true }, quarantined},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			m, machine, run := newPlacedModel(t)
+			applyAll(t, m, NewAcceptance(testSpec(8, 1), 0), NewPlacement(8, 0, 1, 1, 1))
+			failed := []*Job{run.Job, m.Jobs[8]}
+			for _, j := range failed {
+				attributeFailure(machine, j.Tasks[0].Run, 1e9)
+			}
+			m.UpdateQuarantine(machine, quarantined)
+			if !machine.Health.Quarantined {
+				t.Fatal("the machine is not quarantined after two jobs failed there")
+			}
+			c.change(failed)
+			m.UpdateQuarantine(machine, c.until-1e9)
+			if c.until == ended && !machine.Health.Quarantined {
+				t.Error("the quarantine ended too early")
+			}
+			m.UpdateQuarantine(machine, c.until)
+			if machine.Health.Quarantined || !machine.IsUsable() {
+				t.Error("the machine stays quarantined")
+			}
+		})
+	}
+}
--- a/internal/model/machine.go
+++ b/internal/model/machine.go
@@ -90,11 +90,11 @@
 
 // MachineHealth records how reliably and how fast a machine has run this leader's tasks. It is not in the log.
 type MachineHealth struct {
-	Quarantined     bool           // permanently gets no new tasks; its tasks move to other machines
+	Quarantined     bool           // gets no new tasks; its tasks move to other machines
 	SlowUntil       Time           // found to be slow, and gets only services until then
 	Failures        int            // failed attempts since the last completion
 	FailedJobs      map[JobID]*Job // jobs of these attempts
-	CordonedSince   Time           // since when it is cordoned because of failed jobs; 0: not cordoned
+	CordonedSince   Time           // since when it is cordoned or quarantined because of failed jobs; 0: neither
 	slowdown        average        // mean logarithm of the ratio of its tasks' durations to those of their peers
 	slowdownJobs    int            // number of series of consecutive tasks of one job in slowdown
 	lastSlowdownJob JobID          // job of the last task in slowdown
--- a/internal/model/observe.go
+++ b/internal/model/observe.go
@@ -282,7 +282,7 @@
 // recordCompletion updates the statistics for a completed run: it clears the failures of the job and of the machine,
 // and records the duration.
 func (o *observation) recordCompletion(run *Run) {
-	o.machine.Health.clearFailures()
+	o.machine.Health.onCompletion()
 	o.clearFaulty(run.Job)
 	if o.model.recordDuration(o.machine, run, o.now) {
 		o.machine.Health.markSlow(o.now)
