Release a machine with overdue cancelled tasks that does not answer a new leader

Cause: each leader counts the silence of a machine from its own election, and leads for 9 s; the machine counts as lost after 10 s. The cancellation itself is not counted anew.

Change: if a job was cancelled too long ago, a machine with a task of it that has not reported in the term and left a probe unanswered is probed again at once, and released after 4 s of silence, at least two probes. It works because that is shorter than a term, and fits into the quarter of cancel_s left for the release.

--- a/internal/agents/health/health.go
+++ b/internal/agents/health/health.go
@@ -17,7 +17,9 @@
 //
 // An agent ends the tasks of a cancelled job within the permitted time, unless it hangs. A silent machine with such
 // tasks is therefore released before that time is over, even if its zone is partitioned from the leader only, unless a
-// controller in the zone has just received a report of the machine that lists no such task.
+// controller in the zone has just received a report of the machine that lists no such task. The time counts from the
+// cancellation and not from the election, and a new leader releases a machine that does not answer it without waiting
+// until the machine counts as lost: where leaders change often, it would never count as lost.
 //
 // While the cloud is unavailable, it cannot confirm a release, and no machine is released because of its tasks: the
 // partition may end first.
@@ -62,6 +64,10 @@
 	partitionRecovery = 15 * time.Second
 	// maxPartitionSilence is the silence after which a machine is released even if its zone is considered partitioned.
 	maxPartitionSilence = 100 * time.Second
+	// overdueCancelSilence is how long an unresponsive machine may be silent in a term while it holds tasks of a job
+	// that was cancelled too long ago: long enough for two probes, and shorter than the term of a leader where leaders
+	// change every few seconds.
+	overdueCancelSilence = 4 * time.Second
 )
 
 // Machine is the leader's observation of one machine.
@@ -70,6 +76,7 @@
 	Reported           bool // a heartbeat was received in this term
 	Occupied           bool // tasks are placed on the machine
 	HasAddr            bool // the agent's address is known
+	Unresponsive       bool // no message arrived in this term, and a probe was not answered
 	Suspect            bool // marked as suspect in the log: only the leader may renew the lease
 	Releasing          bool // the decision to release it is in the log
 	Quarantined        bool
@@ -208,7 +215,7 @@
 	if m.Releasing {
 		return actions
 	}
-	if m.hasBeenUp() && m.SilentFor > r.rules.ProbeAfter {
+	if m.hasBeenUp() && m.SilentFor > r.rules.ProbeAfter || m.Unresponsive && r.isCancelOverdue(evidence) {
 		actions = append(actions, Action{Kind: Probe})
 	}
 	lost := m.isLost(r.rules)
@@ -234,13 +241,15 @@
 	return actions
 }
 
-// releaseInPartition decides whether a suspect or lost machine is released because of its tasks, and for which reason.
+// releaseInPartition decides whether a suspect, lost or unresponsive machine is released because of its tasks, and for
+// which reason.
 // The package comment explains the rules.
 func (r *Round) releaseInPartition(m *Machine, lost bool, evidence Evidence) (reason ReleaseReason, due bool) {
 	switch {
 	case !m.Occupied || r.cloudUnavailable:
 		return "", false
-	case (lost || m.Suspect) && evidence.CancelledFor() > r.rules.CancelReleaseDelay && !evidence.Cleared():
+	case (lost || m.Suspect || m.Unresponsive && m.SilentFor > overdueCancelSilence) && r.isCancelOverdue(evidence) &&
+		!evidence.Cleared():
 		return CancelOverdue, true
 	case m.Suspect && evidence.LeaseExpired() && r.neededElsewhere(m.Zone, evidence):
 		return NeededElsewhere, true
@@ -248,6 +257,11 @@
 	return "", false
 }
 
+// isCancelOverdue reports whether a machine holds a task of a job that was cancelled too long ago.
+func (r *Round) isCancelOverdue(evidence Evidence) bool {
+	return evidence.CancelledFor() > r.rules.CancelReleaseDelay
+}
+
 // neededElsewhere reports whether a machine's tasks are to continue in another zone now. Urgent tasks always are, since
 // capacity is freed for them; low-priority tasks only if they fit into the free resources that earlier decisions of
 // this round have not used.
--- a/internal/agents/health/health_test.go
+++ b/internal/agents/health/health_test.go
@@ -99,6 +99,15 @@
 		{name: "cancelled tasks overdue, cloud down", others: lost, change: func(m *Machine) { m.SilentFor = lost },
 			evidence:         fakeEvidence{cancelledFor: overdue, zoneUp: true},
 			cloudUnavailable: true, want: partitionActions},
+		{name: "cancelled tasks overdue, unresponsive to a new leader", change: func(m *Machine) {
+			m.Reported, m.Unresponsive, m.SilentFor = false, true, 4100*time.Millisecond
+		}, evidence: fakeEvidence{cancelledFor: overdue}, want: []Action{probe, release(CancelOverdue)}},
+		{name: "cancelled tasks overdue, unresponsive for a moment", change: func(m *Machine) {
+			m.Reported, m.Unresponsive, m.SilentFor = false, true, 4*time.Second
+		}, evidence: fakeEvidence{cancelledFor: overdue}, want: []Action{probe}},
+		{name: "cancelled tasks in time, unresponsive to a new leader", change: func(m *Machine) {
+			m.Reported, m.Unresponsive, m.SilentFor = false, true, 4100*time.Millisecond
+		}, evidence: fakeEvidence{cancelledFor: overdue - 2*time.Second}},
 		{name: "lease expired, urgent tasks", others: lost, change: makeSuspectButHeard,
 			evidence: fakeEvidence{leaseExpired: true, urgent: true}, want: []Action{release(NeededElsewhere)}},
 		{name: "lease expired, room elsewhere", others: lost, change: makeSuspectButHeard,
@@ -252,7 +261,7 @@
 		if rng.IntN(3) == 0 {
 			m.SinceHeartbeat = silences[rng.IntN(len(silences))]
 		}
-		m.SilentFor = m.SinceHeartbeat
+		m.SilentFor, m.Unresponsive = m.SinceHeartbeat, !m.Reported && flip()
 		evidence[i] = fakeEvidence{
 			cancelledFor: silences[rng.IntN(len(silences))], cleared: flip(), leaseExpired: flip(),
 			urgent: rng.IntN(4) == 0, zoneUp: flip(), low: resources(), free: free[m.Zone],
@@ -295,7 +304,8 @@
 	if r.checksLateness && r.inbound[m.Zone] >= 2 && m.Reported {
 		actions = append(actions, raiseToken)
 	}
-	if !m.Releasing && hasBeenUp(m) && m.SilentFor > rules.ProbeAfter {
+	overdue := evidence.cancelledFor > rules.CancelReleaseDelay
+	if !m.Releasing && (hasBeenUp(m) && m.SilentFor > rules.ProbeAfter || m.Unresponsive && overdue) {
 		actions = append(actions, probe)
 	}
 	if r.silent[m.Zone] >= 3 && r.silent[m.Zone]*2 > r.up[m.Zone] {
@@ -328,7 +338,8 @@
 	if m.Releasing || !m.Occupied || r.cloudUnavailable {
 		return ""
 	}
-	if (lost || m.Suspect) && evidence.cancelledFor > rules.CancelReleaseDelay && !evidence.cleared {
+	unanswered := m.Unresponsive && m.SilentFor > 4*time.Second
+	if (lost || m.Suspect || unanswered) && evidence.cancelledFor > rules.CancelReleaseDelay && !evidence.cleared {
 		return CancelOverdue
 	}
 	if !m.Suspect || !evidence.leaseExpired {
--- a/internal/controller/machine_faults_test.go
+++ b/internal/controller/machine_faults_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"net/http"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -59,6 +60,24 @@
 	}
 }
 
+// TestCancelledTaskOutlivesLeadersOnHungMachine guards against a cancelled task that stays on a hung machine because
+// leaders change so often that for none of them the machine is silent for long enough to count as lost.
+func TestCancelledTaskOutlivesLeadersOnHungMachine(t *testing.T) {
+	runCluster(t, 83, func(w *emulator.Environment) {
+		time.Sleep(6 * time.Second)
+		w.Submit(newHighArray(1, 1, 1, 600))
+		time.Sleep(30 * time.Second)
+		machine := hangBusyMachine(w, 90*time.Second)
+		if machine == nil || w.Cancel(wire.JobID(1)) != http.StatusOK {
+			t.Fatal("no running task was cancelled")
+		}
+		cancelled, limit := time.Now(), time.Duration(w.Params.Workers.CancelS*float64(time.Second))
+		for time.Sleep(2 * time.Second); time.Since(cancelled) < limit; time.Sleep(5 * time.Second) {
+			w.Restart(leaderOrFirst(), 5*time.Second)
+		}
+	})
+}
+
 // submitForNewMachine submits a service that needs a machine of its own, without waiting for the response, and returns
 // its ID.
 func submitForNewMachine(w *emulator.Environment, rng *rand.Rand, n int) string {
--- a/internal/controller/machine_health.go
+++ b/internal/controller/machine_health.go
@@ -90,6 +90,7 @@
 		mh.checkTaskHealth(machine, round.ChecksLateness(), now)
 		evidence.machine = machine
 		observed := observeMachine(machine, now)
+		observed.Unresponsive = term.probes.unresponsive[machine] && !machine.Contact.Reported
 		for _, action := range round.Judge(&observed, evidence) {
 			mh.applyAction(machine, action, now)
 		}
