Tell the leader which machines the cloud no longer lists when another node reads the list

What callers saw: with distributed singleton roles (--duties), machines of a zone that were reclaimed together kept their team's limit used for 100 s after a change of leader, and a job waited for 90.5 s beside room.

Cause: only a leader that reads the cloud's list itself could see that silent machines are missing. The holder of the provisioning role reports rows that are not in the log, from which nothing is missing; the machines looked like a partitioned zone.

Change: the holder also reports the machines that its replica has known for long enough and that the list lacks, as a result of its own kind; the leader releases the silent ones. It works because a machine that is missing then is gone for good, however late the frame is. Only a complete list is searched for missing machines; before, a part of it could be, when the distribution of roles ended. TestSlowMachineListing calls the function that the leader's own provisioner calls now.

--- a/internal/controller/limits_test.go
+++ b/internal/controller/limits_test.go
@@ -276,7 +276,7 @@
 					}
 				}
 				youngest.Contact.KnownSince, youngest.Contact.LastReport = c.now()-25*time.Second, c.now()-6*time.Second
-				c.provisioning.onProvisionerResult(
+				c.provisioning.onOwnProvisionerResult(
 					c.term.ownTerm,
 					&provisioner.Result{Kind: provisioner.MachinesListed, Listing: rows, Elapsed: elapsed},
 				)
--- a/internal/controller/provisioning.go
+++ b/internal/controller/provisioning.go
@@ -184,7 +184,18 @@
 	))
 }
 
-// onProvisionerResult processes the result of a cloud request. It must run on the leader's event loop.
+// onOwnProvisionerResult processes the result of a cloud request of the leader's own provisioner. It must run on the
+// leader's event loop.
+func (pv *provisioning) onOwnProvisionerResult(term *leaderTerm, outcome *provisioner.Result) {
+	pv.onProvisionerResult(term, outcome)
+	if outcome.Kind == provisioner.MachinesListed {
+		pv.releaseUnlisted(pv.unlistedMachines(outcome.Listing, outcome.Elapsed))
+	}
+}
+
+// onProvisionerResult processes the result of a cloud request, which may be reported by the holder of the provisioning
+// role. That holder reports the rows of the machine list that are not in the log, and the machines that are missing from
+// the list. It must run on the leader's event loop.
 func (pv *provisioning) onProvisionerResult(term *leaderTerm, outcome *provisioner.Result) {
 	switch outcome.Kind {
 	case provisioner.ScaledOut:
@@ -196,7 +207,8 @@
 		for i := range outcome.Listing {
 			pv.onMachineListed(&outcome.Listing[i])
 		}
-		pv.releaseUnlisted(outcome.Listing, outcome.Elapsed)
+	case provisioner.MachinesUnlisted:
+		pv.releaseUnlisted(outcome.Machines)
 	case provisioner.TypesListed:
 		for i := range outcome.MachineTypes {
 			pv.recordType(&outcome.MachineTypes[i])
@@ -285,17 +297,11 @@
 // limit with scale-out and scale-in.
 const maxListDuration = 10 * time.Second
 
-// releaseUnlisted releases silent machines that are missing from the cloud's list, because they were preempted or have
-// failed. The list lags, may be older than the previous one, and takes time to read, during which machines can appear
-// on pages that were already read. So a machine counts as missing only if this leader has known it for longer than
-// minAge, which covers these delays. Even then the list does not prove that the machine is gone, so its tasks count as
-// ended only when the cloud confirms the release. Without this check, machines of one zone that are preempted together
-// look like a zone partition, during which they are not released, and tasks that must run in that zone wait for a
-// minute and a half.
-func (pv *provisioning) releaseUnlisted(rows []wire.ListedMachine, elapsed time.Duration) {
-	if pv.roles.rolesDistributed() {
-		return // the holder of the provisioning role reports only the rows that are not in the log
-	}
+// unlistedMachines returns the names of the machines that are missing from the cloud's list, because they were preempted
+// or have failed. The list lags, may be older than the previous one, and takes time to read, during which machines can
+// appear on pages that were already read. So a machine counts as missing only if this replica has known it for longer
+// than minAge, which covers these delays. Once a machine is missing, it stays missing, so the names may be used later.
+func (pv *provisioning) unlistedMachines(rows []wire.ListedMachine, elapsed time.Duration) (names []string) {
 	listed := map[string]bool{}
 	for i := range rows {
 		listed[rows[i].Name] = true
@@ -304,8 +310,21 @@
 	listLag := config.Seconds(2 * pv.settings.Params.Cloud.ListLagS)
 	minAge := listLag + max(maxListDuration, elapsed+elapsed/2)
 	for _, machine := range pv.replica.model.MachinesInOrder {
-		if !listed[machine.Info.Name] && now-machine.Contact.KnownSince > minAge &&
-			machine.SilentFor(now) > pv.probeAfter() {
+		if !listed[machine.Info.Name] && now-machine.Contact.KnownSince > minAge {
+			names = append(names, machine.Info.Name)
+		}
+	}
+	return names
+}
+
+// releaseUnlisted releases the silent ones among the machines that the cloud no longer lists. The list does not prove
+// that a machine is gone, so its tasks count as ended only when the cloud confirms the release. Without this release,
+// machines of one zone that are preempted together look like a zone partition, during which they are not released, and
+// tasks that must run in that zone wait for a minute and a half.
+func (pv *provisioning) releaseUnlisted(names []string) {
+	for _, name := range names {
+		machine := pv.replica.model.MachinesByName[name]
+		if machine != nil && machine.SilentFor(pv.now()) > pv.probeAfter() {
 			pv.releaseMachine(machine, "not in cloud listing")
 		}
 	}
--- a/internal/controller/role_results.go
+++ b/internal/controller/role_results.go
@@ -46,16 +46,20 @@
 		//nolint:contextcheck // the progress record must be written even if the role, which owns this context, is lost
 		rs.onRoleProgress(role)
 	}
+	parts := []*provisioner.Result{outcome}
+	if outcome.Kind == provisioner.MachinesListed {
+		unlisted := provisioner.SplitUnlisted(rs.provisioning.unlistedMachines(outcome.Listing, outcome.Elapsed))
+		listed := provisioner.SplitListing(slices.DeleteFunc(outcome.Listing, rs.isInLog), maxListedBytes)
+		parts = slices.Concat(listed, unlisted)
+	}
 	if rs.term.ownTerm != nil {
-		if rs.term.isActive() {
-			rs.provisioning.onProvisionerResult(rs.term.ownTerm, outcome)
+		for _, part := range parts {
+			if rs.term.isActive() {
+				rs.provisioning.onProvisionerResult(rs.term.ownTerm, part)
+			}
 		}
 		return
 	}
-	parts := []*provisioner.Result{outcome}
-	if outcome.Kind == provisioner.MachinesListed {
-		parts = provisioner.SplitListing(slices.DeleteFunc(outcome.Listing, rs.isInLog), maxListedBytes)
-	}
 	name := role.Name.String()
 	go func() {
 		ctx, cancel := context.WithTimeout(ctx, resultTimeout)
--- a/internal/controller/term_components.go
+++ b/internal/controller/term_components.go
@@ -73,7 +73,7 @@
 	trusted := func() bool { return pv.now() < model.Time(term.trustedUntilOffset.Load()) }
 	onResult := func(result provisioner.Result) {
 		if pv.term.ownTerm == term {
-			pv.onProvisionerResult(term, &result)
+			pv.onOwnProvisionerResult(term, &result)
 		}
 	}
 	term.provisioning.provisioner = pv.newProvisioner(term.ctx, trusted, onResult)
--- a/internal/scheduling/provisioner/golden_test.go
+++ b/internal/scheduling/provisioner/golden_test.go
@@ -38,6 +38,7 @@
 		{"listed-none.hex", 3, Result{Kind: MachinesListed}},
 		{"types.hex", 4, Result{Kind: TypesListed, MachineTypes: machineTypes}},
 		{"away.hex", 5, Result{Kind: CloudUnavailable}},
+		{"unlisted.hex", 6, Result{Kind: MachinesUnlisted, Machines: []string{"host-1", "host-300"}}},
 	} {
 		write := func(result *Result) []byte { return result.Append(nil) }
 		golden.RoundTrip(t, c.file, &c.want, write, ReadResult)
@@ -45,7 +46,7 @@
 			t.Errorf("%s: result kind: got %d, want %d", c.file, b[0], c.number)
 		}
 	}
-	for _, number := range []byte{0, 6} {
+	for _, number := range []byte{0, 7} {
 		if _, err := ReadResult([]byte{number}); err == nil {
 			t.Errorf("ReadResult with unknown kind %d: got no error, want one", number)
 		}
--- a/internal/scheduling/provisioner/provisioner.go
+++ b/internal/scheduling/provisioner/provisioner.go
@@ -35,6 +35,7 @@
 	MachinesListed                         // has Listing: part or all of the machine list
 	TypesListed                            // has MachineTypes
 	CloudUnavailable                       // the cloud did not list its machines
+	MachinesUnlisted                       // has Machines: they are in the log, and the cloud no longer lists them
 )
 
 // Result reports the outcome of requests to the cloud. Its kind determines which fields are set.
--- a/internal/scheduling/provisioner/result.go
+++ b/internal/scheduling/provisioner/result.go
@@ -1,6 +1,7 @@
 package provisioner
 
 import (
+	"slices"
 	"time"
 
 	"fieldhill/internal/codec"
@@ -22,7 +23,7 @@
 		b = codec.Uint(b, uint64(result.ScaleOut.Count))
 		b = codec.Uint(b, uint64(max(0, result.Elapsed.Milliseconds())))
 		b = appendNames(b, result.Machines)
-	case Released:
+	case Released, MachinesUnlisted:
 		b = appendNames(b, result.Machines)
 	case MachinesListed:
 		b = codec.Uint(b, uint64(len(result.Listing)))
@@ -97,6 +98,15 @@
 	return append(parts, &Result{Kind: MachinesListed, Listing: machines[start:]})
 }
 
+// SplitUnlisted returns results with the names of machines that the cloud no longer lists, at most MaxListedMachines in
+// each.
+func SplitUnlisted(names []string) (parts []*Result) {
+	for part := range slices.Chunk(names, MaxListedMachines) {
+		parts = append(parts, &Result{Kind: MachinesUnlisted, Machines: part})
+	}
+	return parts
+}
+
 func appendNames(b []byte, names []string) []byte {
 	b = codec.Uint(b, uint64(len(names)))
 	for _, n := range names {
@@ -133,7 +143,7 @@
 		}
 		result.Elapsed = time.Duration(r.Max(1<<31)) * time.Millisecond
 		result.Machines = readNames(r)
-	case Released:
+	case Released, MachinesUnlisted:
 		result.Machines = readNames(r)
 	case MachinesListed:
 		for range r.Max(MaxListedMachines) {
--- a/internal/scheduling/provisioner/result_test.go
+++ b/internal/scheduling/provisioner/result_test.go
@@ -25,6 +25,7 @@
 			Elapsed: 1500 * time.Millisecond},
 		{Kind: ScaledOut, ScaleOut: ScaleOut{Name: "fh-3-2", Count: 50}, Machines: []string{}},
 		{Kind: Released, Machines: []string{"host-1"}},
+		{Kind: MachinesUnlisted, Machines: []string{"host-1"}},
 		{Kind: MachinesListed, Listing: []wire.ListedMachine{{Name: "host-1", Addr: "10.1.0.1:1", Type: "small",
 			Zone: "a", Spot: true, State: wire.MachineRunning, AgeS: 61.5}}},
 		{Kind: TypesListed, MachineTypes: []wire.MachineType{{Name: "small", CPUs: 4, MemoryGB: 16, Price: 0.18,
