--- a/internal/controller/heartbeats.go
+++ b/internal/controller/heartbeats.go
@@ -270,8 +270,8 @@
 }
 
 // applyVerdict logs the jobs that, according to the verdict on a report, fail on every machine or no longer do, and the
-// attempts that cannot be on the machine. It marks the machines that need commands because of the report. firstByProbe reports
-// whether this is the machine's first report in this term and was requested by this controller.
+// attempts that cannot be on the machine. It marks the machines that need commands because of the report. firstByProbe
+// reports whether this is the machine's first report in this term and was requested by this controller.
 func (hb *heartbeats) applyVerdict(machine *model.Machine, verdict *model.ReportVerdict, firstByProbe bool) {
 	for _, j := range verdict.Faulty {
 		hb.log.Info("job faulty, retrying with backoff", "job", j.Spec.ID, "class", j.Spec.Class,
--- a/internal/controller/provisioning.go
+++ b/internal/controller/provisioning.go
@@ -194,8 +194,8 @@
 }
 
 // onProvisionerResult processes the result of a cloud request, which may be reported by the holder of the provisioning
-// role. That holder reports the rows of the machine list that are not in the log, and the machines that are missing from
-// the list. It must run on the leader's event loop.
+// role. That holder reports the rows of the machine list that are not in the log, and the machines that are missing
+// from the list. It must run on the leader's event loop.
 func (pv *provisioning) onProvisionerResult(term *leaderTerm, outcome *provisioner.Result) {
 	switch outcome.Kind {
 	case provisioner.ScaledOut:
@@ -297,10 +297,11 @@
 // limit with scale-out and scale-in.
 const maxListDuration = 10 * time.Second
 
-// unlistedMachines returns the names of the machines that are missing from the cloud's list, because they were preempted
-// or have failed. The list lags, may be older than the previous one, and takes time to read, during which machines can
-// appear on pages that were already read. So a machine counts as missing only if this replica has known it for longer
-// than minAge, which covers these delays. Once a machine is missing, it stays missing, so the names may be used later.
+// unlistedMachines returns the names of the machines that are missing from the cloud's list, because they were
+// preempted or have failed. The list lags, may be older than the previous one, and takes time to read, during which
+// machines can appear on pages that were already read. So a machine counts as missing only if this replica has known it
+// for longer than minAge, which covers these delays. Once a machine is missing, it stays missing, so the names may be
+// used later.
 func (pv *provisioning) unlistedMachines(rows []wire.ListedMachine, elapsed time.Duration) (names []string) {
 	listed := map[string]bool{}
 	for i := range rows {
--- a/internal/controller/staleness_test.go
+++ b/internal/controller/staleness_test.go
@@ -295,8 +295,9 @@
 }
 
 // zoneWithoutController moves all controllers into zone a and submits services and arrays: two services may run
-// anywhere, three must run in zone b, and arrays that may run anywhere fill the remaining capacity of the machines, until
-// each machine of zone b holds a task that may run in zone a too. It returns the machines of zone b that hold such tasks.
+// anywhere, three must run in zone b, and arrays that may run anywhere fill the remaining capacity of the machines,
+// until each machine of zone b holds a task that may run in zone a too. It returns the machines of zone b that hold
+// such tasks.
 func zoneWithoutController(w *emulator.Environment) (busy []*emulator.Worker) {
 	for i := range 3 {
 		w.StopAndWait(i)
--- a/internal/model/failure_attribution.go
+++ b/internal/model/failure_attribution.go
@@ -13,8 +13,8 @@
 //     once the jobs are cancelled or prove faulty: jobs that may run on one machine only never prove faulty.
 //
 // Decisions use only the failures and completions reported so far. A completion clears the faulty state of its job and
-// the cordon of its machine. A task that clearly outlives the failed tasks of its job also clears the faulty state of the
-// job: replicas of a service never complete, and a task of an array may run for long.
+// the cordon of its machine. A task that clearly outlives the failed tasks of its job also clears the faulty state of
+// the job: replicas of a service never complete, and a task of an array may run for long.
 
 const (
 	// How long a job is not placed again on a machine where it failed.
--- a/internal/model/job.go
+++ b/internal/model/job.go
@@ -114,7 +114,7 @@
 	CancelledSince Time
 	Errors         int                // failed attempts
 	FailedOn       map[MachineID]Time // time of the last failure by machine
-	Faulty         bool               // has failed on several machines, and no task has completed or outlived the failures
+	Faulty         bool               // failed on several machines, and no task completed or outlived the failures
 	backoffs       int                // number of backoffs since it became faulty
 	longestFailure Time               // longest time for which a task that failed was observed running
 	logDurations   average            // mean logarithm of the durations of completed tasks in seconds
@@ -160,8 +160,8 @@
 	return len(j.Tasks) - j.Done - j.PlacedTasks
 }
 
-// Placeable returns the number of tasks that may be placed now. Of a faulty job this is one task, and only while no other
-// is placed; gangs are tried as a whole.
+// Placeable returns the number of tasks that may be placed now. Of a faulty job this is one task, and only while no
+// other is placed; gangs are tried as a whole.
 func (j *Job) Placeable() int {
 	switch {
 	case !j.Observed.Faulty || j.Kind == Gang:
--- a/internal/scheduling/autoscaler/demand.go
+++ b/internal/scheduling/autoscaler/demand.go
@@ -14,7 +14,7 @@
 	taskResources scheduler.Resources
 	types         []int32 // nil: any
 	zone          int32   // negative: any
-	sameZone      bool    // all tasks must be in one zone, which is chosen when the demand is packed if zone is negative
+	sameZone      bool    // all tasks must be in one zone; it is chosen when the demand is packed if zone is negative
 	spot          bool
 	count         int
 	service       bool
--- a/internal/scheduling/autoscaler/packing.go
+++ b/internal/scheduling/autoscaler/packing.go
@@ -41,8 +41,8 @@
 	p.plan.ServiceHeadroom += pk.headroom()
 }
 
-// headroom returns the number of CPUs that other work leaves free for the expected arrivals of a standby demand: no more
-// than the demand has on machines without GPUs or will get there. Otherwise, tasks would wait for machines that
+// headroom returns the number of CPUs that other work leaves free for the expected arrivals of a standby demand: no
+// more than the demand has on machines without GPUs or will get there. Otherwise, tasks would wait for machines that
 // nobody requests, beside free CPUs.
 func (k *packing) headroom() float64 {
 	tasks := k.withoutGPUs
