Count no room for low-priority work on machines with GPUs that it may not use

Cause: the plan packed work without GPUs on any machine with GPUs that is in use, and the scheduler lets the lowest priority use one only where Plan.LowPriorityAllowed says so.

Change: packing asks the function that LowPriorityAllowed is made with. It works because the plan no longer counts on a machine that it forbids itself.

--- /dev/null
+++ b/internal/scheduling/autoscaler/convergence_test.go
@@ -0,0 +1,97 @@
+package autoscaler
+
+import (
+	"flag"
+	"math/rand/v2"
+	"testing"
+
+	"fieldhill/internal/model"
+	"fieldhill/wire"
+)
+
+var (
+	firstSeed = flag.Uint64("from", 0, "first seed of the random tests")
+	seedCount = flag.Uint64("seeds", 150, "number of seeds of the random tests")
+)
+
+// randomJob returns a job that fits on an empty machine of some type.
+func randomJob(rng *rand.Rand, id uint64) *wire.JobSpec {
+	spec := webService(id, 1+rng.IntN(6))
+	spec.Class = []string{"web", "batch", "gang"}[rng.IntN(3)]
+	spec.Shape = []string{wire.Service, wire.Array, wire.Gang}[rng.IntN(3)]
+	spec.Priority = []string{wire.Low, wire.Normal, wire.High, wire.Production}[rng.IntN(4)]
+	spec.CPUs, spec.EstimateS = []float64{0, 0.5, 1, 4, 8}[rng.IntN(5)], float64(rng.IntN(300))
+	spec.SameZone, spec.Spread, spec.Spot = rng.IntN(3) == 0, rng.IntN(4) == 0, rng.IntN(2) == 0
+	if spec.SameZone {
+		spec.Spread = false
+	}
+	if rng.IntN(4) == 0 {
+		spec.CPUs, spec.GPUs = 40, 4
+	}
+	if rng.IntN(4) == 0 {
+		zone := []string{"a", "b"}[rng.IntN(2)]
+		spec.Zone, spec.Spread = &zone, false
+	}
+	return spec
+}
+
+// Times of TestTasksWaitForeverThoughMachinesCanBeHad: until when jobs arrive and the cloud has few machines, and until
+// when all tasks must have been placed, most of which run for up to 300 s.
+const (
+	scarceUntil = model.Time(30e9)
+	placedBy    = model.Time(430e9)
+)
+
+// newScarceCloud returns a cloud with two zones and at most two machines of each offer.
+func newScarceCloud(t *testing.T, rng *rand.Rand) *testCloud {
+	t.Helper()
+	c := newTestCloud(t, rng.IntN(4))
+	c.autoscaler.Objectives[0].WithinS = []float64{1, 25}[rng.IntN(2)]
+	zone := c.model.Zones.ID("b")
+	for i := range c.model.Types {
+		c.model.Types[i].ZoneIDs = append(c.model.Types[i].ZoneIDs, zone)
+	}
+	eachOffer(c.model, func(o InstanceOffer) { c.available[o] = rng.IntN(3) })
+	return c
+}
+
+// submitRandomJobs submits jobs until scarceUntil. Some jobs are judged faulty and some machines slow. With failover, a
+// new leader begins without statistics halfway.
+func (c *testCloud) submitRandomJobs(rng *rand.Rand, failover bool) {
+	for id := uint64(1); c.now < scarceUntil; c.step() {
+		if rng.IntN(3) == 0 {
+			c.apply(model.NewAcceptance(randomJob(rng, id), 0))
+			if j := c.model.Jobs[model.JobID(id)]; rng.IntN(6) == 0 {
+				j.Observed.Faulty, j.Scheduling.NotBefore = true, c.now+model.Time(rng.IntN(64))*1e9
+			}
+			id++
+		}
+		if n := len(c.model.MachinesInOrder); n > 0 && rng.IntN(20) == 0 {
+			c.model.MachinesInOrder[rng.IntN(n)].Health.SlowUntil = c.now + 120e9
+		}
+		if failover && c.now == scarceUntil/2 {
+			c.autoscaler = New(c.autoscaler.Objectives)
+		}
+	}
+}
+
+// TestTasksWaitForeverThoughMachinesCanBeHad submits random jobs while the cloud has few machines of each offer. Later
+// it has enough of all. Then no task may be left waiting: the plan must not count a task as placed where the scheduler
+// does not place it.
+func TestTasksWaitForeverThoughMachinesCanBeHad(t *testing.T) {
+	for seed := *firstSeed; seed < *firstSeed+*seedCount; seed++ {
+		rng := rand.New(rand.NewPCG(seed, 21))
+		c := newScarceCloud(t, rng)
+		c.submitRandomJobs(rng, seed%2 == 1)
+		eachOffer(c.model, func(o InstanceOffer) { c.available[o] = 1000 })
+		for c.now < placedBy {
+			c.step()
+		}
+		for _, j := range c.model.JobsInOrder() {
+			if n := j.Waiting(); n > 0 {
+				t.Errorf("seed %d: %d of %d tasks of %+v wait: %v", seed, n, len(j.Tasks), *j.Spec,
+					j.Scheduling.PendingReason)
+			}
+		}
+	}
+}
--- a/internal/scheduling/autoscaler/packing.go
+++ b/internal/scheduling/autoscaler/packing.go
@@ -3,6 +3,7 @@
 import (
 	"sort"
 
+	"fieldhill/internal/model"
 	"fieldhill/internal/scheduling/scheduler"
 )
 
@@ -16,8 +17,9 @@
 // packing is the state of packing one demand onto the slots.
 type packing struct {
 	*planner
-	demand    *demand
-	remaining int // tasks not yet placed
+	demand     *demand
+	affordable offerFilter
+	remaining  int // tasks not yet placed
 	// withoutGPUs is the number of tasks placed on machines without GPUs, including planned ones.
 	withoutGPUs int
 	// unavailable reports that no machine can be requested for the remaining tasks.
@@ -34,7 +36,7 @@
 	if d.sameZone && d.zone < 0 {
 		d.zone = p.chooseZone(d)
 	}
-	pk := packing{planner: p, demand: d, remaining: d.count}
+	pk := packing{planner: p, demand: d, remaining: d.count, affordable: affordable(p.model, d)}
 	pk.fillSuitable()
 	pk.fillGPUMachines()
 	pk.scaleOut()
@@ -64,7 +66,7 @@
 // fillSlot places tasks on a slot while the filter accepts it, the constraints allow it and the tasks fit.
 func (k *packing) fillSlot(s *slot, allowed slotFilter) {
 	d := k.demand
-	for k.remaining > 0 && allowed(s) && s.free.Contains(d.taskResources) && d.canUse(s) {
+	for k.remaining > 0 && allowed(s) && s.free.Contains(d.taskResources) && d.canUse(s) && k.allowsPriority(s) {
 		k.place(s)
 		if d.service && !d.standby && s.machine != nil && s.total.GPUs > 0 {
 			k.plan.ServiceSlots[s.machine]++
@@ -72,6 +74,14 @@
 	}
 }
 
+// allowsPriority reports whether the scheduler places tasks of the demand's priority on the machine of a slot: tasks
+// without GPUs and of low priority may use a machine with GPUs only as Plan.LowPriorityAllowed says.
+func (k *packing) allowsPriority(s *slot) bool {
+	d := k.demand
+	return d.priority > model.Low || d.standby || d.taskResources.GPUs > 0 || s.total.GPUs == 0 ||
+		k.isKeptForOthers(s) || d.maxPriceFactor > 0 && k.affordable(s.offer)
+}
+
 // fill places tasks on the slots that the filter accepts, in order.
 func (k *packing) fill(allowed slotFilter) {
 	for _, s := range k.slots {
@@ -95,8 +105,7 @@
 	}
 	// Machines in use are filled first because they are kept anyway, then affordable ones.
 	k.fill(func(s *slot) bool { return s.used && d.suits(s) })
-	isAffordable := affordable(k.model, d)
-	k.fill(func(s *slot) bool { return (d.suits(s) || !d.standby) && isAffordable(s.offer) })
+	k.fill(func(s *slot) bool { return (d.suits(s) || !d.standby) && k.affordable(s.offer) })
 }
 
 // fillGPUMachines places a demand that needs no GPUs on machines with GPUs that are in use. Idle machines with GPUs
--- a/internal/scheduling/autoscaler/plan.go
+++ b/internal/scheduling/autoscaler/plan.go
@@ -80,8 +80,7 @@
 		if s.machine == nil || s.total.GPUs == 0 {
 			continue
 		}
-		allowed := !p.autoscaler.arrivals.gpuDemand.FitsAny(s.total) ||
-			p.usedBeforeBatch[s] && (!s.hasGPUWork() || scheduler.ServiceUsage(s.machine).CPUs > 0)
+		allowed := p.isKeptForOthers(s)
 		for _, isAffordable := range p.affordableOffers {
 			allowed = allowed || isAffordable(s.offer)
 		}
@@ -89,6 +88,15 @@
 	}
 }
 
+// isKeptForOthers reports whether low-priority work may use the machine of a slot with GPUs although its price is not
+// justified by this work: either no GPU work fits there, or the machine is kept for other work that this work does not
+// outlast.
+func (p *planner) isKeptForOthers(s *slot) bool {
+	return !p.autoscaler.arrivals.gpuDemand.FitsAny(s.total) ||
+		p.usedBeforeBatch[s] && s.machine != nil &&
+			(!s.hasGPUWork() || scheduler.ServiceUsage(s.machine).CPUs > 0)
+}
+
 // requestPlanned adds the requests for the planned machines, in the order of their demand, most urgent first.
 func (p *planner) requestPlanned() {
 	index := map[InstanceOffer]int{}
