Preempt for a team's limit only if the task can have a machine

Cause: round.placeNext made room under the team's limit before it looked for a machine. The work that it stopped was placed again and stopped again in each further round.

Change: work is preempted for the limit only if a machine has room for the task, or would have it once preemptible work there is stopped; gangs had it this way. It works because each such preemption then leads to a placement.

--- a/internal/scheduling/scheduler/placement.go
+++ b/internal/scheduling/scheduler/placement.go
@@ -147,7 +147,7 @@
 	}
 	if !r.quota.allows(j, 1) {
 		j.Scheduling.PendingReason = r.quota.reason(j, 1)
-		if shortfall, feasible := r.teamPreemption(j, 1); feasible {
+		if shortfall, feasible := r.teamPreemption(j, 1); feasible && r.canHaveMachine(p) {
 			r.preemptInTeam(j, 1, shortfall)
 		}
 		return false
--- a/internal/scheduling/scheduler/preempt.go
+++ b/internal/scheduling/scheduler/preempt.go
@@ -105,9 +105,25 @@
 	if j.Observed.FailedOn == nil && isKnownInfeasible(r.infeasible.unpreemptable, key, p.need) {
 		return false
 	}
+	choices, zoneLimited := r.preemptionChoices(p)
+	unclaimed := r.claimCheapest(claim{
+		job:         j,
+		need:        p.need,
+		maxPriority: model.Production,
+		preempt:     !r.preemptionDelayed(j),
+		reason:      "capacity for job " + j.Spec.ID,
+	}, choices)
+	if unclaimed > 0 && !zoneLimited && !j.Spec.Spread && j.Observed.FailedOn == nil {
+		r.infeasible.unpreemptable = append(r.infeasible.unpreemptable, demandShape{key, p.need})
+	}
+	return unclaimed == 0
+}
+
+// preemptionChoices returns the machines that have resources for a task of a job once some runs are preempted.
+// zoneLimited reports whether the zone constraints of the job exclude some machine.
+func (r *round) preemptionChoices(p *jobPlacement) (choices choiceHeap, zoneLimited bool) {
+	j := p.job
 	zones := zoneCache{job: j}
-	zoneLimited := false
-	var choices choiceHeap
 	for i := range r.machines {
 		view := &r.machines[i]
 		if !r.mayUse(j, view, p.need) || !r.serviceAllowed(j, view) ||
@@ -122,17 +138,17 @@
 			choices = append(choices, preemptionChoice{view, cost + fetchIdleCost(r.model, j, view.machine), runs, i})
 		}
 	}
-	unclaimed := r.claimCheapest(claim{
-		job:         j,
-		need:        p.need,
-		maxPriority: model.Production,
-		preempt:     !r.preemptionDelayed(j),
-		reason:      "capacity for job " + j.Spec.ID,
-	}, choices)
-	if unclaimed > 0 && !zoneLimited && !j.Spec.Spread && j.Observed.FailedOn == nil {
-		r.infeasible.unpreemptable = append(r.infeasible.unpreemptable, demandShape{key, p.need})
+	return choices, zoneLimited
+}
+
+// canHaveMachine reports whether a machine has resources for a task of a job, now or once some runs are preempted.
+// Without such a machine, work that is preempted for the team limit would be placed again, and preempted again.
+func (r *round) canHaveMachine(p *jobPlacement) bool {
+	if r.findCandidate(p) != nil {
+		return true
 	}
-	return unclaimed == 0
+	choices, _ := r.preemptionChoices(p)
+	return len(choices) > 0
 }
 
 // claim describes resources to be claimed for the waiting tasks of a job.
--- a/internal/scheduling/scheduler/scheduler_test.go
+++ b/internal/scheduling/scheduler/scheduler_test.go
@@ -666,6 +666,27 @@
 	}
 }
 
+// TestTeamLimitPreemptsWithoutMachine guards against preempting work of a team that is at its limit for a task that has
+// no machine anyway: the work is placed again and preempted again, dozens of times, and neither is ever done.
+func TestTeamLimitPreemptsWithoutMachine(t *testing.T) {
+	for _, blocked := range []bool{true, false} {
+		env := newEnvironment(t, 2)
+		env.model.Teams[0].CPUsMax = 6
+		if blocked {
+			env.submit(1, func(s *wire.JobSpec) { s.Shape, s.Priority, s.CPUs = wire.Service, wire.Production, 4 })
+			env.place(1, 0, env.model.Machines[1])
+		}
+		env.submit(2, func(s *wire.JobSpec) { s.Team, s.CPUs = "red", 4 })
+		env.place(2, 0, env.model.Machines[2])
+		zone := "a"
+		env.submit(3, func(s *wire.JobSpec) { s.Team, s.Priority, s.CPUs, s.Zone = "red", wire.High, 4, &zone })
+		New(Params{Beta: 0.8, Threshold: 0.5}).Round(env.model, 60e9, true, env)
+		if preempted := len(env.stopped) > 0; preempted == blocked {
+			t.Errorf("the only machine is taken: %v; preempted %v", blocked, env.stopped)
+		}
+	}
+}
+
 // TestTeamLimitIsReserved checks that for a gang beyond its team limit, less urgent work of the team is preempted once,
 // and that the released part of the limit stays reserved until the gang starts. Without the reservation, other jobs of
 // the team take it within the same round. Work that ranks above the gang must not be preempted, since it would be
