Renew the leader's lease only while its event loop runs

Cause: the lease is renewed by a goroutine of its own, whatever the loop does.

Change: the lease is renewed only while the loop has run its maintenance within 8 s. A leader that resumes is deposed as after any lost lease. The time of the last maintenance belongs to the event loop now; readiness reads it there.

--- a/internal/controller/components.go
+++ b/internal/controller/components.go
@@ -281,6 +281,7 @@
 func connectReadiness(c *Controller) {
 	c.readiness.forward = c.forward
 	c.readiness.leadership = c.leadership
+	c.readiness.loop = c.loop
 	c.readiness.replica = c.replica
 	c.readiness.term = c.term
 }
--- a/internal/controller/event_loop.go
+++ b/internal/controller/event_loop.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"sync/atomic"
 	"time"
 
 	"fieldhill/internal/result"
@@ -21,14 +22,15 @@
 // Both queues are bounded. While a queue is full, requests and heartbeats are refused immediately with the advice to
 // retry; only post and postAndWait wait for space.
 //
-// The queues are safe for concurrent use. The other fields are accessed by the loop only.
+// The queues and lastMaintenance are safe for concurrent use. The other fields are accessed by the loop only.
 type eventLoop struct {
 	*environment
 	handler loopHandler
 
-	workQueue    chan func()
-	requestQueue chan queuedRequest
-	done         chan struct{} // closed when the loop has ended
+	workQueue       chan func()
+	requestQueue    chan queuedRequest
+	done            chan struct{} // closed when the loop has ended
+	lastMaintenance atomic.Int64  // time of the last maintenance run, since startTime
 
 	admissionGate  admission.Gate // admits or refuses new jobs, depending on the queueing delay of requests
 	roundRequested bool           // an event requested a scheduling round before the next periodic one
@@ -102,6 +104,17 @@
 	}
 }
 
+// recordMaintenance records the time of a maintenance run, and returns the time since the previous run.
+func (el *eventLoop) recordMaintenance(now time.Time) time.Duration {
+	sinceStart := now.Sub(el.startTime)
+	return sinceStart - time.Duration(el.lastMaintenance.Swap(int64(sinceStart)))
+}
+
+// sinceMaintenance returns the time since the last maintenance run. It is safe for concurrent use.
+func (el *eventLoop) sinceMaintenance() time.Duration {
+	return el.now() - time.Duration(el.lastMaintenance.Load())
+}
+
 // requestRound requests a scheduling round, which runs once roundGap has passed since the last one.
 func (el *eventLoop) requestRound() { el.roundRequested = true }
 
--- a/internal/controller/leader_term.go
+++ b/internal/controller/leader_term.go
@@ -55,10 +55,15 @@
 	return <-term.errs
 }
 
-// renewLease renews the leader's lease, and extends the term's trust period with each renewal, until the lease is lost
-// or the context ends. It returns the reason.
+// maxLeaderStall is how long the event loop of a leader may stand still before the leader gives up its lease: with the
+// lease and an election, less than the leases of agents, so that the next leader renews these in time.
+const maxLeaderStall = 8 * time.Second
+
+// renewLease renews the leader's lease, and extends the term's trust period with each renewal, until the lease is lost,
+// the event loop stands still or the context ends. It returns the reason.
 func (ls *leadership) renewLease(ctx context.Context, term *leaderTerm, won *election.Leadership) error {
-	return election.RenewUntilLost(ctx, ls.store, won, func(until time.Time) {
+	inProgress := func() bool { return ls.loop.sinceMaintenance() <= maxLeaderStall }
+	err := election.RenewUntilLost(ctx, ls.store, won, inProgress, func(until time.Time) {
 		ls.loop.post(func() {
 			if term.resigned {
 				return
@@ -69,6 +74,10 @@
 			}
 		})
 	})
+	if errors.Is(err, election.ErrStalled) {
+		ls.log.Warn("leadership resigned, event loop stalled", "term", won.Term)
+	}
+	return err
 }
 
 // missingState is the committed state that a new leader's replica lacks.
--- a/internal/controller/maintenance.go
+++ b/internal/controller/maintenance.go
@@ -1,10 +1,6 @@
 package controller
 
-import (
-	"time"
-
-	"fieldhill/internal/model"
-)
+import "time"
 
 const (
 	minRoundGap    = 40 * time.Millisecond  // minimum of roundGap
@@ -34,7 +30,7 @@
 // runMaintenance implements loopHandler: it runs the periodic maintenance of each component.
 func (c *Controller) runMaintenance() {
 	now := time.Now()
-	elapsed := c.readiness.recordMaintenance(now)
+	elapsed := c.loop.recordMaintenance(now)
 	c.observeDelay(elapsed - maintenanceInterval)
 	c.readiness.updateReadiness()
 	c.zones.reportPartition()
@@ -47,12 +43,6 @@
 	}
 }
 
-// recordMaintenance records the time of a maintenance run, and returns the time since the previous run.
-func (rd *readiness) recordMaintenance(now time.Time) time.Duration {
-	sinceStart := now.Sub(rd.startTime)
-	return sinceStart - model.Time(rd.lastMaintenance.Swap(int64(sinceStart)))
-}
-
 // observeDelay processes the delay of a maintenance run, which measures how busy the event loop is. The delay affects
 // the admission of jobs, the detection of silent machines, and the limit on low-priority placements.
 func (c *Controller) observeDelay(delay time.Duration) {
--- a/internal/controller/readiness.go
+++ b/internal/controller/readiness.go
@@ -3,8 +3,6 @@
 import (
 	"sync/atomic"
 	"time"
-
-	"fieldhill/internal/model"
 )
 
 // readiness determines whether this controller reports itself as ready to the load balancer. The event loop writes the
@@ -13,17 +11,17 @@
 	*environment
 	forward    *forwarder
 	leadership *leadership
+	loop       *eventLoop
 	replica    *replica
 	term       *termState
 
-	ready           atomic.Bool
-	lastMaintenance atomic.Int64 // time of the last maintenance run, since startTime
+	ready atomic.Bool
 }
 
 // Ready reports whether this controller can answer requests, itself or through another controller.
 func (rd *readiness) Ready() bool {
 	// The result is out of date if the process has stalled since it was written.
-	return rd.ready.Load() && rd.now()-model.Time(rd.lastMaintenance.Load()) < 2*stallThreshold
+	return rd.ready.Load() && rd.loop.sinceMaintenance() < 2*stallThreshold
 }
 
 // linkTimeout is the maximum age of the last response over a link for its other end to count as reachable.
--- a/internal/replication/election/election.go
+++ b/internal/replication/election/election.go
@@ -138,11 +138,18 @@
 	return item.Version, true
 }
 
-// RenewUntilLost renews the lease of a leadership until the context ends, or until the lease has ended, in which case
-// the error wraps oplog.ErrDeposed. After every successful renewal, RenewUntilLost calls onRenewed with the time until
-// which the lease is guaranteed to last.
+// ErrStalled means that a leader no longer renews its lease because it makes no progress.
+var ErrStalled = errors.New("leader makes no progress")
+
+// RenewUntilLost renews the lease of a leadership until the context ends, until the lease has ended, in which case the
+// error wraps oplog.ErrDeposed, or until inProgress returns false, in which case the error wraps ErrStalled. After
+// every successful renewal, RenewUntilLost calls onRenewed with the time until which the lease is guaranteed to last.
 func RenewUntilLost(
-	ctx context.Context, store *kvstore.Client, leadership *Leadership, onRenewed func(until time.Time),
+	ctx context.Context,
+	store *kvstore.Client,
+	leadership *Leadership,
+	inProgress func() bool,
+	onRenewed func(until time.Time),
 ) error {
 	ticker := time.NewTicker(renewInterval)
 	defer ticker.Stop()
@@ -152,6 +159,9 @@
 			return ctx.Err()
 		case <-ticker.C:
 		}
+		if !inProgress() {
+			return fmt.Errorf("election: renew lease of term %d: %w", leadership.Term, ErrStalled)
+		}
 		sent := time.Now()
 		err := store.Renew(ctx, leadership.Lease, renewTimeout)
 		switch {
--- a/internal/replication/oplog/compact_test.go
+++ b/internal/replication/oplog/compact_test.go
@@ -304,7 +304,9 @@
 	withStore(t, func(s *store) {
 		n := s.open("n0")
 		s.elect(n, "n0")
-		go func() { _ = election.RenewUntilLost(s.ctx, n.client, n.leadership, func(time.Time) {}) }()
+		go func() {
+			_ = election.RenewUntilLost(s.ctx, n.client, n.leadership, alwaysInProgress, func(time.Time) {})
+		}()
 		s.service.DropResponses(0.3)
 		const batches = 60
 		start := time.Now()
@@ -402,3 +404,6 @@
 		}
 	})
 }
+
+// alwaysInProgress is the progress of a leader that never stalls.
+func alwaysInProgress() bool { return true }
--- a/internal/replication/oplog/golden_test.go
+++ b/internal/replication/oplog/golden_test.go
@@ -377,7 +377,7 @@
 	renew := func(ctx context.Context, _ *oplog.Log, svc *kvstore.Client) (any, error) {
 		renewals := 0
 		leadership := &election.Leadership{Leader: *goldenLeader()}
-		err := election.RenewUntilLost(ctx, svc, leadership, func(time.Time) { renewals++ })
+		err := election.RenewUntilLost(ctx, svc, leadership, alwaysInProgress, func(time.Time) { renewals++ })
 		return renewals, err
 	}
 	leaderOfTerm := func(term uint64) oplog.Leader {
