Compare the CPUs left for services with the tolerance of all other amounts

What callers saw: the last of twelve tasks of 1/3 CPU waited for good beside a machine whose last 1/3 CPU was free, and nothing was provisioned.

Cause: the CPUs left after a placement were compared with the headroom, 0, without a tolerance. They are a difference of rounded sums, -3e-16 here; all other comparisons, and the plan's, allow 1e-6.

Change: this one allows it too. It works because plan and scheduler then agree on what fits.

Evidence: TestLastTaskWaitsForeverByRounding failed ("11 tasks of 1/3 CPU placed on 4 CPUs, want 12"), and passes.

--- a/internal/scheduling/scheduler/moves_test.go
+++ b/internal/scheduling/scheduler/moves_test.go
@@ -35,7 +35,7 @@
 		env.submit(n, func(s *wire.JobSpec) {
 			s.Shape, s.Priority, s.CPUs, s.Team, s.Spot = wire.Service, wire.Production, cpus, "guest", true
 		})
-		env.place(model.JobID(n), 0, machine)
+		env.place(model.JobID(n), machine)
 		machine.Runs[len(machine.Runs)-1].Phase = model.Running
 	}
 	for i := range replicas {
--- a/internal/scheduling/scheduler/round.go
+++ b/internal/scheduling/scheduler/round.go
@@ -130,7 +130,7 @@
 	}
 	if total.GPUs == 0 {
 		return machine.Spot || j.Priority >= model.Production ||
-			r.freeServiceCPUs-need.CPUs >= r.directives.ServiceHeadroom
+			r.freeServiceCPUs-need.CPUs+epsilon >= r.directives.ServiceHeadroom
 	}
 	if j.Spec.GPUs == 0 && j.Priority == model.Low && !r.directives.LowPriorityAllowed[machine] {
 		return false
--- a/internal/scheduling/scheduler/scheduler_test.go
+++ b/internal/scheduling/scheduler/scheduler_test.go
@@ -53,10 +53,9 @@
 	}
 }
 
-// place puts a task on a machine, bypassing the scheduler.
-func (env *environment) place(job model.JobID, task int32, machine *model.Machine) {
-	env.apply(&model.Entry{Kind: model.EntryPlace, Job: job, Task: task, Attempt: 1, Machine: machine.ID,
-		AgentEpoch: machine.Contact.AgentEpoch})
+// place puts the first task of a job on a machine, bypassing the scheduler.
+func (env *environment) place(job model.JobID, machine *model.Machine) {
+	env.apply(model.NewPlacement(job, 0, 1, machine.ID, machine.Contact.AgentEpoch))
 }
 
 // Bind applies a placement to the model and checks it.
@@ -674,10 +673,10 @@
 		env.model.Teams[0].CPUsMax = 6
 		if blocked {
 			env.submit(1, func(s *wire.JobSpec) { s.Shape, s.Priority, s.CPUs = wire.Service, wire.Production, 4 })
-			env.place(1, 0, env.model.Machines[1])
+			env.place(1, env.model.Machines[1])
 		}
 		env.submit(2, func(s *wire.JobSpec) { s.Team, s.CPUs = "red", 4 })
-		env.place(2, 0, env.model.Machines[2])
+		env.place(2, env.model.Machines[2])
 		zone := "a"
 		env.submit(3, func(s *wire.JobSpec) { s.Team, s.Priority, s.CPUs, s.Zone = "red", wire.High, 4, &zone })
 		New(Params{Beta: 0.8, Threshold: 0.5}).Round(env.model, 60e9, true, env)
@@ -687,6 +686,17 @@
 	}
 }
 
+// TestLastTaskWaitsForeverByRounding guards against a task that is kept from the last free CPUs, which suffice for it,
+// because the sum of the CPUs in use is rounded.
+func TestLastTaskWaitsForeverByRounding(t *testing.T) {
+	env := newEnvironment(t, 1)
+	j := env.submit(1, func(s *wire.JobSpec) { s.Tasks, s.CPUs, s.MemoryGB = 12, 1.0/3, 0.1 })
+	New(Params{Beta: 0.8, Threshold: 0.5}).Round(env.model, 60e9, true, env)
+	if j.PlacedTasks != 12 {
+		t.Errorf("%d tasks of 1/3 CPU placed on 4 CPUs, want 12: %v", j.PlacedTasks, j.Scheduling.PendingReason)
+	}
+}
+
 // TestTeamLimitIsReserved checks that for a gang beyond its team limit, less urgent work of the team is preempted once,
 // and that the released part of the limit stays reserved until the gang starts. Without the reservation, other jobs of
 // the team take it within the same round. Work that ranks above the gang must not be preempted, since it would be
