Claim the machine and the part of the team's limit together when work is preempted for a task

Cause: when room under the limit was freed, no machine was claimed, so that other work took it in the same round; when a machine was freed next, no part of the limit was reserved, so that work of the team took that.

Change: both are claimed in the round in which either is freed, for tasks and for gangs within their limit. It works because less urgent work comes later in each round and finds both taken.

--- a/internal/scheduling/scheduler/gang.go
+++ b/internal/scheduling/scheduler/gang.go
@@ -49,8 +49,11 @@
 	} else {
 		claimed = g.claimCapacity()
 	}
-	if claimed && !g.withinQuota {
+	switch {
+	case claimed && !g.withinQuota:
 		r.preemptInTeam(j, g.members, g.shortfall)
+	case claimed && g.members > 1:
+		r.quota.reserve(j, g.members) // as preemptForTask does for one member
 	}
 }
 
--- a/internal/scheduling/scheduler/placement.go
+++ b/internal/scheduling/scheduler/placement.go
@@ -147,7 +147,7 @@
 	}
 	if !r.quota.allows(j, 1) {
 		j.Scheduling.PendingReason = r.quota.reason(j, 1)
-		if shortfall, feasible := r.teamPreemption(j, 1); feasible && r.canHaveMachine(p) {
+		if shortfall, feasible := r.teamPreemption(j, 1); feasible && r.claimMachine(p) {
 			r.preemptInTeam(j, 1, shortfall)
 		}
 		return false
@@ -265,6 +265,7 @@
 	r.claimCheapest(claim{
 		job:         j,
 		need:        p.need,
+		tasks:       min(j.Placeable(), maxClaims),
 		maxPriority: model.Normal,
 		preempt:     true,
 		reason:      "image locality, for job " + j.Spec.ID,
--- a/internal/scheduling/scheduler/preempt.go
+++ b/internal/scheduling/scheduler/preempt.go
@@ -94,21 +94,48 @@
 
 // preemptForTask claims resources for the waiting tasks of a job that has found no free machine: resources that
 // preempted tasks are releasing already, or else those where preemption costs least. It preempts only once the job has
-// waited for its preemption delay. It reports whether the claims suffice for all tasks that may be placed, up to
-// maxClaims.
+// waited for its preemption delay. It also reserves the part of the team limit that the tasks will take: otherwise less
+// urgent work of the team takes it while the resources become free, and is preempted in its turn, in a loop. It reports
+// whether the claims suffice for all tasks that may be placed, up to maxClaims.
 func (r *round) preemptForTask(p *jobPlacement) bool {
+	tasks := min(p.job.Placeable(), maxClaims)
+	claimed := r.claimByPreemption(p, tasks)
+	for n := claimed; n > 0; n-- {
+		if r.quota.allows(p.job, n) {
+			r.quota.reserve(p.job, n)
+			break
+		}
+	}
+	return claimed == tasks
+}
+
+// claimMachine claims resources for one task of a job, on a free machine or by preemption, and reports whether there
+// are any. Without them, work that is preempted for the team limit would be placed again, and preempted again; without
+// the claim, less urgent work would take the resources before the job is within the limit.
+func (r *round) claimMachine(p *jobPlacement) bool {
+	if best := r.findCandidate(p); best != nil {
+		best.view.claim(p.need)
+		return true
+	}
+	return r.claimByPreemption(p, 1) == 1
+}
+
+// claimByPreemption claims resources for the given number of tasks of a job where preemption costs least, and returns
+// the number of tasks for which it found any. It preempts only once the job has waited for its preemption delay.
+func (r *round) claimByPreemption(p *jobPlacement, tasks int) (claimed int) {
 	j := p.job
 	if j.Priority == model.Low && (!j.Scheduling.Guaranteed || j.Scheduling.Deferrable) {
-		return false
+		return 0
 	}
 	key := preemptionKeyOf(j)
 	if j.Observed.FailedOn == nil && isKnownInfeasible(r.infeasible.unpreemptable, key, p.need) {
-		return false
+		return 0
 	}
 	choices, zoneLimited := r.preemptionChoices(p)
 	unclaimed := r.claimCheapest(claim{
 		job:         j,
 		need:        p.need,
+		tasks:       tasks,
 		maxPriority: model.Production,
 		preempt:     !r.preemptionDelayed(j),
 		reason:      "capacity for job " + j.Spec.ID,
@@ -116,7 +143,7 @@
 	if unclaimed > 0 && !zoneLimited && !j.Spec.Spread && j.Observed.FailedOn == nil {
 		r.infeasible.unpreemptable = append(r.infeasible.unpreemptable, demandShape{key, p.need})
 	}
-	return unclaimed == 0
+	return tasks - unclaimed
 }
 
 // preemptionChoices returns the machines that have resources for a task of a job once some runs are preempted.
@@ -141,32 +168,23 @@
 	return choices, zoneLimited
 }
 
-// canHaveMachine reports whether a machine has resources for a task of a job, now or once some runs are preempted.
-// Without such a machine, work that is preempted for the team limit would be placed again, and preempted again.
-func (r *round) canHaveMachine(p *jobPlacement) bool {
-	if r.findCandidate(p) != nil {
-		return true
-	}
-	choices, _ := r.preemptionChoices(p)
-	return len(choices) > 0
-}
-
 // claim describes resources to be claimed for the waiting tasks of a job.
 type claim struct {
 	job         *model.Job
 	need        Resources
+	tasks       int            // number of tasks to claim resources for
 	maxPriority model.Priority // highest priority that may be preempted
 	preempt     bool           // false: claim the resources without preempting
 	reason      string
 }
 
 // claimCheapest claims resources on the machines where this costs least, and preempts the runs that occupy them if the
-// claim permits it. It returns the number of tasks, up to maxClaims, for which nothing was claimed.
+// claim permits it. It returns the number of tasks for which nothing was claimed.
 func (r *round) claimCheapest(c claim, choices choiceHeap) int {
 	j := c.job
 	heap.Init(&choices)
 	claimedInZone := map[int32]int{} // number of tasks with a claim, by zone
-	unclaimed := min(j.Placeable(), maxClaims)
+	unclaimed := c.tasks
 	for unclaimed > 0 && len(choices) > 0 {
 		best := &choices[0]
 		if zone := best.view.machine.Zone; j.Spec.Spread {
--- a/internal/scheduling/scheduler/scheduler_test.go
+++ b/internal/scheduling/scheduler/scheduler_test.go
@@ -686,6 +686,37 @@
 	}
 }
 
+// TestPreemptionForTaskRepeats guards against a task that never starts and for which others are preempted in each
+// round: while its team's limit is freed, other work takes the machine, or while a machine is freed, work of the team
+// takes the limit.
+func TestPreemptionForTaskRepeats(t *testing.T) {
+	zone := "a" // of the urgent task
+	for _, c := range []struct {
+		name             string
+		running, waiting string // teams of the low-priority tasks
+		machine          model.MachineID
+	}{
+		{"limit freed first", "red", "blue", 2},
+		{"machine freed first", "blue", "red", 1},
+	} {
+		env := newEnvironment(t, 2)
+		env.model.Teams[0].CPUsMax = 4
+		env.submit(1, func(s *wire.JobSpec) { s.Team, s.CPUs = c.running, 4 })
+		env.place(1, env.model.Machines[c.machine])
+		j := env.submit(2, func(s *wire.JobSpec) { s.Team, s.Priority, s.CPUs, s.Zone = "red", wire.High, 4, &zone })
+		env.submit(3, func(s *wire.JobSpec) { s.Team, s.CPUs = c.waiting, 4 })
+		s := New(Params{Beta: 0.8, Threshold: 0.5})
+		for now := model.Time(60e9); now < 63e9; now += 1e9 {
+			s.Round(env.model, now, true, env)
+			env.endStopping(env.model.Machines[1])
+			env.endStopping(env.model.Machines[2])
+		}
+		if j.PlacedTasks != 1 || len(env.stopped) != 1 {
+			t.Errorf("%s: %d urgent tasks placed, preempted %v; want 1, one task", c.name, j.PlacedTasks, env.stopped)
+		}
+	}
+}
+
 // TestLastTaskWaitsForeverByRounding guards against a task that is kept from the last free CPUs, which suffice for it,
 // because the sum of the CPUs in use is rounded.
 func TestLastTaskWaitsForeverByRounding(t *testing.T) {
