Play plans and rounds with unusual amounts, and list the loop that they show

Cause: jobs may have any amounts, from 0 over denormal to 1e300; the random test had usual ones.

A task that has ended proves its job not faulty, as in the model. Seed 23032 shows a fault that stays: a low task ranks first while it waits (minimum share) and last while it runs, so that a normal service preempts it in every other round and never starts.

--- a/internal/scheduling/autoscaler/convergence_test.go
+++ b/internal/scheduling/autoscaler/convergence_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"flag"
+	"math"
 	"math/rand/v2"
 	"testing"
 
@@ -33,9 +34,30 @@
 		zone := []string{"a", "b"}[rng.IntN(2)]
 		spec.Zone, spec.Spread = &zone, false
 	}
+	if rng.IntN(4) == 0 {
+		makeOdd(rng, spec)
+	}
 	return spec
 }
 
+// makeOdd gives a job amounts that are allowed and unusual.
+func makeOdd(rng *rand.Rand, spec *wire.JobSpec) {
+	due := 0.0
+	for _, amount := range []*float64{
+		&spec.CPUs, &spec.MemoryGB, &spec.ImageGB, &spec.CheckpointIntervalS, &spec.CheckpointWriteS, &due,
+	} {
+		if rng.IntN(2) == 0 {
+			*amount = []float64{0, math.SmallestNonzeroFloat64, 1e-300, 1e-9, 1e9, 1e300}[rng.IntN(6)]
+		}
+	}
+	if rng.IntN(2) == 0 && due < 1 { // with a late deadline, tasks may run one after the other
+		spec.DeadlineS = &due
+	}
+	if spec.Class = "odd"; spec.CPUs < 1e-6 && spec.MemoryGB < 1e-6 && spec.GPUs == 0 {
+		spec.Tasks = 1 + rng.IntN(3*model.MaxMachineTasks)
+	}
+}
+
 // Times of TestTasksWaitForeverThoughMachinesCanBeHad: until when jobs arrive and the cloud has few machines, how long
 // a task of an array or gang runs at most, and until when all tasks must have been placed.
 const (
@@ -94,17 +116,28 @@
 // does not place it.
 func TestTasksWaitForeverThoughMachinesCanBeHad(t *testing.T) {
 	for seed := *firstSeed; seed < *firstSeed+*seedCount; seed++ {
-		rng := rand.New(rand.NewPCG(seed, 21))
-		c := newScarceCloud(t, rng)
-		c.submitRandomJobs(rng, seed%2 == 1)
-		eachOffer(c.model, func(o InstanceOffer) { c.available[o] = 1000 })
-		for c.now < placedBy {
-			c.step()
-		}
-		for _, j := range c.stuckJobs() {
-			t.Errorf("seed %d: %d of %d tasks of %+v wait: %v", seed, j.Waiting(), len(j.Tasks), *j.Spec,
-				j.Scheduling.PendingReason)
-		}
+		playRandomJobs(t, seed)
+	}
+}
+
+// TestUnderServedTaskIsPreemptedInTurns plays a seed in which a low-priority task ranks first while it waits, because
+// its class is under-served, and last while it runs, so that a service of normal priority preempts it in every other
+// round and never starts.
+func TestUnderServedTaskIsPreemptedInTurns(t *testing.T) { playRandomJobs(t, 23032) }
+
+// playRandomJobs submits random jobs while machines are scarce, and checks that all are placed when they no longer are.
+func playRandomJobs(t *testing.T, seed uint64) {
+	t.Helper()
+	rng := rand.New(rand.NewPCG(seed, 21))
+	c := newScarceCloud(t, rng)
+	c.submitRandomJobs(rng, seed%2 == 1)
+	eachOffer(c.model, func(o InstanceOffer) { c.available[o] = 1000 })
+	for c.now < placedBy {
+		c.step()
+	}
+	for _, j := range c.stuckJobs() {
+		t.Errorf("seed %d: %d of %d tasks of %+v wait: %v", seed, j.Waiting(), len(j.Tasks), *j.Spec,
+			j.Scheduling.PendingReason)
 	}
 }
 
--- a/internal/scheduling/autoscaler/rounds_test.go
+++ b/internal/scheduling/autoscaler/rounds_test.go
@@ -57,15 +57,17 @@
 	c.apply(model.NewAttemptEnd(r.Job.ID, r.Task, r.Attempt))
 }
 
-// complete ends the tasks of arrays and gangs that have run for the estimated time. A task that has run for 10 s proves
-// that its job is not faulty.
+// complete ends the tasks of arrays and gangs that have run for the estimated time. A task that has ended or run for
+// 10 s proves that its job is not faulty.
 func (c *testCloud) complete() {
 	for _, machine := range c.model.MachinesInOrder {
 		for _, r := range slices.Clone(machine.Runs) {
-			if c.now-r.PlacedAt > 10e9 {
+			ran := c.now - r.PlacedAt
+			ended := r.Job.Kind != model.Service && ran.Seconds() > r.Job.Spec.EstimateS
+			if ended || ran > 10e9 {
 				r.Job.Observed.Faulty = false
 			}
-			if r.Job.Kind != model.Service && (c.now-r.PlacedAt).Seconds() > r.Job.Spec.EstimateS {
+			if ended {
 				c.apply(model.NewCompletion(r.Job.ID, r.Task, r.Attempt))
 			}
 		}
